--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,352 @@
+//! The platform's settings (JSON) and the operators' own (XML), checked before anything starts.
+
+use crate::time::Span;
+use quick_xml::Reader;
+use quick_xml::events::Event;
+use serde::Deserialize;
+use std::net::SocketAddr;
+
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigError {
+    #[error("{path}: {source}")]
+    Read { path: String, source: std::io::Error },
+    #[error("{path}: {message}")]
+    Json { path: String, message: String },
+    #[error("{path}: line {line}: {message}")]
+    Xml { path: String, line: usize, message: String },
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Peer {
+    #[serde(rename = "host_name")]
+    pub name: String,
+    #[serde(rename = "endpoint")]
+    pub addr: SocketAddr,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Services {
+    pub cloud: SocketAddr,
+    pub state: SocketAddr,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Team {
+    pub name: String,
+    #[serde(default)]
+    pub cpus: f64,
+    #[serde(default)]
+    pub cpus_max: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Objective {
+    pub kind: String,
+    #[serde(default)]
+    pub class: String,
+    #[serde(default)]
+    pub within_s: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Workers {
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub gang_wait_s: f64,
+    pub gang_peer_s: f64,
+    pub cancel_s: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct StateLimits {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct CloudLimits {
+    pub rps: f64,
+    pub list_lag_s: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Limits {
+    #[serde(rename = "fd_limit")]
+    pub sockets: usize,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Cluster {
+    #[serde(default)]
+    pub zones: Vec<String>,
+    pub teams: Vec<Team>,
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+    pub workers: Workers,
+    pub state: StateLimits,
+    pub cloud: CloudLimits,
+    pub limits: Limits,
+    #[serde(default)]
+    pub skew_ms: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Settings {
+    #[serde(rename = "host_name")]
+    pub name: String,
+    #[serde(rename = "serve_on")]
+    pub listen: SocketAddr,
+    #[serde(rename = "internal_addr")]
+    pub peer_listen: SocketAddr,
+    #[serde(rename = "known", default)]
+    pub peers: Vec<Peer>,
+    #[serde(rename = "external")]
+    pub services: Services,
+    pub cluster: Cluster,
+}
+
+impl Settings {
+    pub fn load(path: &str) -> Result<Settings, ConfigError> {
+        let text =
+            std::fs::read_to_string(path).map_err(|source| ConfigError::Read { path: path.into(), source })?;
+        Settings::parse(&text).map_err(|message| ConfigError::Json { path: path.into(), message })
+    }
+
+    pub fn parse(text: &str) -> Result<Settings, String> {
+        let s: Settings = serde_json::from_str(text).map_err(|e| e.to_string())?;
+        s.check()?;
+        Ok(s)
+    }
+
+    fn check(&self) -> Result<(), String> {
+        let c = &self.cluster;
+        let positive = [
+            ("workers.report_s", c.workers.report_s),
+            ("workers.lease_s", c.workers.lease_s),
+            ("workers.cancel_s", c.workers.cancel_s),
+            ("state.rps", c.state.rps),
+            ("state.write_rps", c.state.write_rps),
+            ("state.value_kb", c.state.value_kb),
+            ("state.txn_ops", c.state.txn_ops as f64),
+            ("cloud.rps", c.cloud.rps),
+            ("limits.fd_limit", c.limits.sockets as f64),
+        ];
+        for (name, x) in positive {
+            if x.is_nan() || x <= 0.0 {
+                return Err(format!("cluster.{name} must be above 0, not {x}"));
+            }
+        }
+        if c.state.txn_ops < 4 {
+            return Err("cluster.state.txn_ops must be at least 4".into());
+        }
+        if c.workers.cancel_s <= c.workers.lease_s + self.state_ttl().as_secs() + 2.0 {
+            return Err("cluster.workers.cancel_s leaves no room for lease_s and a change of leader".into());
+        }
+        for (i, t) in c.teams.iter().enumerate() {
+            if c.teams[..i].iter().any(|o| o.name == t.name) {
+                return Err(format!("cluster.teams names {} twice", t.name));
+            }
+        }
+        if self.name.is_empty() || self.peers.iter().any(|p| p.name == self.name) {
+            return Err("host_name must be set and differ from the names in known".into());
+        }
+        Ok(())
+    }
+
+    /// Life of the leader's lease at the state service: short against the workers' lease, so that
+    /// a new leader is there before workers give up.
+    pub fn state_ttl(&self) -> Span {
+        Span::secs((self.cluster.workers.lease_s * 0.35).clamp(2.0, 6.0))
+    }
+
+    pub fn lease(&self) -> Span {
+        Span::secs(self.cluster.workers.lease_s)
+    }
+
+    /// Most seconds until a task of the class should have started, if an aim says so.
+    pub fn start_aim(&self, class: &str) -> Option<f64> {
+        let of = |o: &&Objective| o.kind == "wait" && o.class == class;
+        self.cluster.objectives.iter().filter(of).map(|o| o.within_s).reduce(f64::min)
+    }
+}
+
+/// The operators' settings. All are optional; docs/operations.md explains each.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tuning {
+    /// The paper's B: how much dearer than the cheapest a job may be, as a share of the range.
+    pub budget_share: f64,
+    /// Median life that the log-normal starts with, and its sigma.
+    pub spot_median_s: f64,
+    pub spot_sigma: f64,
+    /// The window of the unfilled spot request, in seconds.
+    pub spot_window_s: f64,
+    /// Seconds after which an idle machine goes back.
+    pub idle_s: f64,
+    /// Stands in for the run time of services in costs.
+    pub service_horizon_s: f64,
+    /// Tasks placed in a round: at rest, and at the most.
+    pub batch_min: f64,
+    pub batch_max: f64,
+    /// Shortest time between two rounds, in milliseconds.
+    pub round_ms: f64,
+    /// Requests of users under way at once; more get 503.
+    pub user_requests: f64,
+}
+
+impl Default for Tuning {
+    fn default() -> Tuning {
+        Tuning {
+            budget_share: 0.25,
+            spot_median_s: 5400.0,
+            spot_sigma: 1.0,
+            spot_window_s: 10.0,
+            idle_s: 45.0,
+            service_horizon_s: 600.0,
+            batch_min: 64.0,
+            batch_max: 1024.0,
+            round_ms: 150.0,
+            user_requests: 64.0,
+        }
+    }
+}
+
+impl Tuning {
+    /// The setting of that name with its least and greatest value.
+    fn slot(&mut self, name: &str) -> Option<(&mut f64, f64, f64)> {
+        Some(match name {
+            "budget-share" => (&mut self.budget_share, 0.0, 1.0),
+            "spot-median-s" => (&mut self.spot_median_s, 1.0, 1e7),
+            "spot-sigma" => (&mut self.spot_sigma, 0.01, 10.0),
+            "spot-window-s" => (&mut self.spot_window_s, 0.0, 3600.0),
+            "idle-s" => (&mut self.idle_s, 0.0, 86_400.0),
+            "service-horizon-s" => (&mut self.service_horizon_s, 1.0, 1e7),
+            "batch-min" => (&mut self.batch_min, 1.0, 100_000.0),
+            "batch-max" => (&mut self.batch_max, 1.0, 100_000.0),
+            "round-ms" => (&mut self.round_ms, 10.0, 60_000.0),
+            "user-requests" => (&mut self.user_requests, 1.0, 10_000.0),
+            _ => return None,
+        })
+    }
+
+    pub fn load(path: &str) -> Result<Tuning, ConfigError> {
+        let text =
+            std::fs::read_to_string(path).map_err(|source| ConfigError::Read { path: path.into(), source })?;
+        Tuning::parse(&text).map_err(|(line, message)| ConfigError::Xml { path: path.into(), line, message })
+    }
+
+    /// `<wallstile><idle-s>60</idle-s>...</wallstile>`; an error names its line.
+    pub fn parse(text: &str) -> Result<Tuning, (usize, String)> {
+        let mut tuning = Tuning::default();
+        let mut reader = Reader::from_str(text);
+        let mut path: Vec<String> = Vec::new();
+        let mut seen: Vec<String> = Vec::new();
+        let mut content = String::new();
+        loop {
+            let event = reader.read_event();
+            let at = (reader.buffer_position() as usize).min(text.len());
+            let line = text.as_bytes()[..at].iter().filter(|b| **b == b'\n').count() + 1;
+            match event.map_err(|e| (line, e.to_string()))? {
+                Event::Start(e) => {
+                    let name = e.name().as_ref().to_string();
+                    match path.len() {
+                        0 if name == "wallstile" && seen.is_empty() => seen.push(name.clone()),
+                        1 if tuning.slot(&name).is_some() && !seen.contains(&name) => seen.push(name.clone()),
+                        1 if seen.contains(&name) => return Err((line, format!("<{name}> stands twice"))),
+                        _ => return Err((line, format!("unknown element <{name}>"))),
+                    }
+                    if e.attributes().next().is_some() {
+                        return Err((line, format!("<{name}> takes no attributes")));
+                    }
+                    content.clear();
+                    path.push(name);
+                }
+                Event::Empty(e) => {
+                    let name = e.name().as_ref().to_string();
+                    if !(path.is_empty() && name == "wallstile") {
+                        return Err((line, format!("<{name}> is empty")));
+                    }
+                    seen.push(name);
+                }
+                Event::Text(e) => content.push_str(&e.xml10_content()),
+                Event::End(_) => {
+                    let name = path.pop().unwrap_or_default();
+                    if path.len() == 1 {
+                        let x: f64 = content
+                            .trim()
+                            .parse()
+                            .map_err(|_| (line, format!("<{name}> holds no number: {:?}", content.trim())))?;
+                        if let Some((slot, least, most)) = tuning.slot(&name) {
+                            if !(least..=most).contains(&x) {
+                                return Err((line, format!("<{name}> must be {least} to {most}, not {x}")));
+                            }
+                            *slot = x;
+                        }
+                        content.clear();
+                    } else if !content.trim().is_empty() {
+                        return Err((line, format!("stray text in <{name}>")));
+                    }
+                }
+                Event::Eof if seen.is_empty() || !path.is_empty() => {
+                    return Err((line, "the document ends before </wallstile>".into()));
+                }
+                Event::Eof => break,
+                _ => {}
+            }
+        }
+        if tuning.batch_min > tuning.batch_max {
+            return Err((1, "batch-min is above batch-max".into()));
+        }
+        Ok(tuning)
+    }
+}
+
+#[cfg(test)]
+pub fn sample_settings() -> Settings {
+    Settings::parse(include_str!("../tests/settings.json")).expect("the sample is valid")
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn settings_that_contradict_themselves_are_refused() {
+        let good = include_str!("../tests/settings.json");
+        assert!(Settings::parse(good).is_ok());
+        for (from, to) in [
+            ("\"lease_s\": 10.0", "\"lease_s\": 29.0"),
+            ("\"rps\": 100.0", "\"rps\": 0.0"),
+            ("\"10.0.0.1:8080\"", "\"nowhere\""),
+            ("\"team-b\"", "\"team-a\""),
+            ("\"plinth-1\"", "\"plinth-0\""),
+        ] {
+            assert!(good.contains(from), "{from}");
+            assert!(Settings::parse(&good.replace(from, to)).is_err(), "{to}");
+        }
+    }
+
+    #[test]
+    fn operators_settings_name_the_line_of_an_error() {
+        let t = Tuning::parse("<wallstile>\n <idle-s>60</idle-s>\n</wallstile>").unwrap();
+        assert_eq!(t.idle_s, 60.0);
+        assert_eq!(Tuning::parse("<wallstile/>").unwrap(), Tuning::default());
+        for (text, line, what) in [
+            ("<wallstile>\n<idel-s>1</idel-s></wallstile>", 2, "unknown"),
+            ("<wallstile>\n\n<idle-s>x</idle-s></wallstile>", 3, "number"),
+            ("<wallstile>\n<budget-share>1.5</budget-share></wallstile>", 2, "must be"),
+            ("<wallstile>\n<idle-s>1</idle-s>\n<idle-s>2</idle-s></wallstile>", 3, "twice"),
+            ("<wallstile>\n<idle-s>1</idle-s>\n", 3, "ends"),
+            ("<wallstile><idle-s>1</wallstile>", 1, ""),
+            ("", 1, "ends"),
+        ] {
+            let (l, m) = Tuning::parse(text).unwrap_err();
+            assert!(l == line && m.contains(what), "{text:?}: line {l}: {m}");
+        }
+    }
+}
--- /dev/null
+++ b/src/core/fleet.rs
@@ -0,0 +1,221 @@
+//! The ledger: which machines there are, and what is possibly on each of them.
+//!
+//! A task counts as on a machine from before its order is sent until there is proof that it is
+//! gone. What counts as proof is decided here and in [`super::leader`], nowhere else.
+
+use crate::ids::{Attempt, Baton, MachineId, Shift, Tally, TaskId};
+use crate::time::{Mono, Span};
+use crate::wire::{LotPhase, MachineType, Order, Priority};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+
+/// `fleet/ID` is written before a machine gets its first order.
+pub const FLEET: &str = "fleet/";
+
+pub fn fleet_key(id: &MachineId) -> String {
+    format!("{FLEET}{id}")
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct FleetRecord {
+    pub endpoint: String,
+    pub kind: String,
+    pub zone: String,
+    pub spot: bool,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Amount {
+    pub cpus: f64,
+    pub gpus: f64,
+    pub memory_gb: f64,
+}
+
+impl Amount {
+    pub fn of_type(t: &MachineType) -> Amount {
+        Amount { cpus: t.cpus, gpus: t.gpus, memory_gb: t.memory_gb }
+    }
+    pub fn add(&mut self, o: &Amount) {
+        self.cpus += o.cpus;
+        self.gpus += o.gpus;
+        self.memory_gb += o.memory_gb;
+    }
+    pub fn sub(&mut self, o: &Amount) {
+        self.cpus -= o.cpus;
+        self.gpus -= o.gpus;
+        self.memory_gb -= o.memory_gb;
+    }
+    pub fn holds(&self, o: &Amount) -> bool {
+        let e = 1e-6;
+        o.cpus <= self.cpus + e && o.gpus <= self.gpus + e && o.memory_gb <= self.memory_gb + e
+    }
+}
+
+/// A run order whose fate isn't proven yet.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Sent {
+    pub baton: Baton,
+    /// The worker answered the order, so whatever it lists from then on tells the truth.
+    pub answered: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct Slot {
+    pub need: Amount,
+    /// None: a task of a job that is over, known from a report only.
+    pub team: Option<u32>,
+    pub priority: Priority,
+    /// None: not listed by the worker yet.
+    pub phase: Option<LotPhase>,
+    pub sent: Option<Sent>,
+    pub placed_at: Mono,
+    pub running_since: Option<Mono>,
+    /// A stop was ordered, with this leeway.
+    pub stop: Option<f64>,
+    pub image: u32,
+    pub fetch_s: f64,
+    pub run_s: f64,
+}
+
+impl Slot {
+    pub fn exited(&self) -> bool {
+        self.phase == Some(LotPhase::Exited)
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Commission {
+    No,
+    Writing,
+    Yes,
+}
+
+pub type SlotKey = (TaskId, Attempt);
+
+pub struct Machine {
+    pub endpoint: String,
+    pub kind: usize,
+    pub zone: u32,
+    pub spot: bool,
+    /// It has reported to this leader.
+    pub up: bool,
+    pub since: Mono,
+    pub commission: Commission,
+    pub shift: Shift,
+    pub tally: Tally,
+    pub baton: Baton,
+    pub last_report: Mono,
+    /// Everything possibly on it is in `slots`: it has reported under this leader's baton, or
+    /// never had an order, or is proven empty.
+    pub accounted: bool,
+    pub fence: u64,
+    /// An order went unanswered: no more orders until the worker reports the raised fence.
+    pub fencing: bool,
+    pub in_flight: Option<u64>,
+    pub outbox: Vec<Order>,
+    pub slots: BTreeMap<SlotKey, Slot>,
+    pub notice: bool,
+    pub errors: u32,
+    pub sick_until: Mono,
+    /// To be returned; never used again, as a return may be carried out at any time.
+    pub doomed: bool,
+    pub returning: bool,
+    pub return_after: Mono,
+    pub idle_since: Option<Mono>,
+    /// Images that it is believed to hold, the latest used last.
+    pub images: VecDeque<(u32, f64)>,
+    pub slowness: f64,
+}
+
+impl Machine {
+    pub fn new(endpoint: String, kind: usize, zone: u32, spot: bool, now: Mono) -> Machine {
+        Machine {
+            endpoint,
+            kind,
+            zone,
+            spot,
+            up: false,
+            since: now,
+            commission: Commission::No,
+            shift: Shift(0),
+            tally: Tally(0),
+            baton: Baton(0),
+            last_report: now,
+            accounted: true,
+            fence: 0,
+            fencing: false,
+            in_flight: None,
+            outbox: Vec::new(),
+            slots: BTreeMap::new(),
+            notice: false,
+            errors: 0,
+            sick_until: Mono(0),
+            doomed: false,
+            returning: false,
+            return_after: Mono(0),
+            idle_since: None,
+            images: VecDeque::new(),
+            slowness: 1.0,
+        }
+    }
+
+    pub fn used(&self) -> Amount {
+        let mut a = Amount::default();
+        for s in self.slots.values().filter(|s| !s.exited()) {
+            a.add(&s.need);
+        }
+        a
+    }
+
+    pub fn free(&self, t: &MachineType) -> Amount {
+        let mut a = Amount::of_type(t);
+        a.sub(&self.used());
+        a
+    }
+
+    pub fn busy(&self) -> bool {
+        self.slots.values().any(|s| !s.exited())
+    }
+
+    /// A task of a job that is over is listed: what it uses isn't known.
+    pub fn has_unknown(&self) -> bool {
+        self.slots.values().any(|s| s.team.is_none() && !s.exited())
+    }
+
+    /// May get new tasks now.
+    pub fn usable(&self, now: Mono, quiet: Span) -> bool {
+        self.up
+            && self.accounted
+            && self.commission == Commission::Yes
+            && !self.fencing
+            && !self.notice
+            && !self.doomed
+            && !self.has_unknown()
+            && self.sick_until <= now
+            && now - self.last_report <= quiet
+    }
+
+    pub fn touch_image(&mut self, image: u32, gb: f64, cache_gb: f64) {
+        self.images.retain(|(i, _)| *i != image);
+        self.images.push_back((image, gb));
+        while self.images.len() > 1 && self.images.iter().map(|(_, g)| g).sum::<f64>() > cache_gb {
+            self.images.pop_front();
+        }
+    }
+
+    /// Seconds until the image is there, if it is there or on its way.
+    pub fn image_ready(&self, image: u32, now: Mono) -> Option<f64> {
+        self.images.iter().any(|(i, _)| *i == image).then(|| {
+            let pulling = self.slots.values().filter(|s| {
+                s.image == image && s.fetch_s > 0.0 && matches!(s.phase, None | Some(LotPhase::Pulling))
+            });
+            pulling.map(|s| (s.fetch_s - (now - s.placed_at).as_secs()).max(0.2)).fold(0.0, f64::max)
+        })
+    }
+
+    pub fn order(&mut self, o: Order) {
+        if !self.outbox.contains(&o) {
+            self.outbox.push(o);
+        }
+    }
+}
--- /dev/null
+++ b/src/core/miser.rs
@@ -0,0 +1,416 @@
+//! MISER, the placement policy (docs/design.md cites the paper, equation by equation).
+//!
+//! Pure: a view of the fleet and of the ready tasks in, placements and wishes for machines out.
+
+use crate::peer::{JobView, Placement, PlanInput, PlanOutput, VERSION, Waiting, Wish, ZoneCount};
+
+const EPS: f64 = 1e-6;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Room {
+    cpus: f64,
+    gpus: f64,
+    memory_gb: f64,
+}
+
+impl Room {
+    fn fits(&self, j: &JobView) -> bool {
+        j.cpus <= self.cpus + EPS && j.gpus <= self.gpus + EPS && j.memory_gb <= self.memory_gb + EPS
+    }
+    fn take(&mut self, j: &JobView) {
+        self.cpus -= j.cpus;
+        self.gpus -= j.gpus;
+        self.memory_gb -= j.memory_gb;
+    }
+}
+
+/// Something a task could be put on: a machine of the view, or one opened in this round.
+struct Place {
+    /// Key of a machine of the view; none for a machine yet to be rented.
+    machine: Option<u32>,
+    kind: usize,
+    zone: u32,
+    spot: bool,
+    up: bool,
+    room: Room,
+    /// For a machine yet to be rented: the offer it comes from, and whether a task wants it.
+    offer: Option<usize>,
+    opened: bool,
+    load: f64,
+    priority: u32,
+}
+
+/// What a place would mean for one job, room aside.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Choice {
+    /// Expected finish, in seconds from now: the paper's FT.
+    pub finish_s: f64,
+    /// The part of it before the run begins.
+    pub start_s: f64,
+    pub cost: f64,
+    pub reliability: f64,
+    pub spot: bool,
+}
+
+/// Log-normal distribution function of a spot machine's life (paper, eq. 6).
+pub fn log_normal_cdf(x: f64, mu: f64, sigma: f64) -> f64 {
+    if x <= 0.0 {
+        return 0.0;
+    }
+    0.5 * (1.0 + libm::erf((x.ln() - mu) / (sigma * std::f64::consts::SQRT_2)))
+}
+
+/// Sub-deadline of a task without successors (paper, eq. 3): the job's deadline; on a spot machine
+/// the task's own run time earlier, as a restart takes the place of a migration (ours).
+pub fn sub_deadline(due_s: f64, run_s: f64, spot: bool) -> f64 {
+    if spot { due_s - run_s } else { due_s }
+}
+
+/// The quality of a choice among those open to the task (paper, eq. 4, 5 and 7).
+pub fn quality(c: &Choice, lo: &Choice, hi: &Choice) -> f64 {
+    let part = |x: f64, lo: f64, hi: f64| if hi - lo > EPS { 1.0 - (x - lo) / (hi - lo) } else { 1.0 };
+    part(c.finish_s, lo.finish_s, hi.finish_s) + part(c.cost, lo.cost, hi.cost) + c.reliability
+}
+
+/// The paper's condition for giving up on an unfilled spot request (eq. 8).
+pub fn spot_wait_is_over(sub_deadline_s: f64, finish_s: f64, slip_s: f64, window_s: f64) -> bool {
+    sub_deadline_s - finish_s < slip_s + window_s
+}
+
+struct Planner<'a> {
+    input: &'a PlanInput,
+    places: Vec<Place>,
+    offers_left: Vec<u32>,
+    cpus_left: std::collections::BTreeMap<u32, (f64, f64)>,
+}
+
+/// A job's state within a round.
+struct Active<'a> {
+    job: &'a JobView,
+    choices: Vec<Option<Choice>>,
+    left: u32,
+    cheapest: f64,
+    spare: f64,
+    due_s: f64,
+    zones: Vec<ZoneCount>,
+    put: std::collections::BTreeMap<u32, (u32, f64)>,
+    waiting: Waiting,
+    rank: f64,
+}
+
+pub fn plan(input: &PlanInput) -> PlanOutput {
+    let mut p = Planner::new(input);
+    let mut out =
+        PlanOutput { version: VERSION, term: input.term, round: input.round, ..Default::default() };
+    let mut budget = input.batch;
+    // Jobs of higher priority go first, and within one priority what a guarantee covers (ours).
+    let mut classes: Vec<(u32, bool)> = input.jobs.iter().map(|j| (j.priority, !j.guaranteed)).collect();
+    classes.sort_unstable();
+    classes.dedup();
+    for class in classes {
+        let mut active: Vec<Active> = input
+            .jobs
+            .iter()
+            .filter(|j| (j.priority, !j.guaranteed) == class && j.ready > 0)
+            .map(|j| p.activate(j))
+            .collect();
+        // Round-robin over the jobs, those of the highest rank first (paper, eq. 1 and lines 7-9).
+        active.sort_by(|a, b| {
+            b.rank.total_cmp(&a.rank).then(b.job.age_s.total_cmp(&a.job.age_s)).then(a.job.key.cmp(&b.job.key))
+        });
+        let mut going = true;
+        while going {
+            going = false;
+            for a in active.iter_mut().filter(|a| a.left > 0) {
+                if budget == 0 {
+                    break;
+                }
+                if p.place_next(a) {
+                    budget = budget.saturating_sub(if a.job.gang { a.job.tasks } else { 1 });
+                    going = true;
+                } else {
+                    a.waiting.count += a.left;
+                    a.left = 0;
+                }
+            }
+        }
+        for a in active {
+            for (machine, (count, extra)) in a.put {
+                out.placements.push(Placement { job: a.job.key, machine, count, extra });
+            }
+            if a.waiting.count + a.left > 0 {
+                out.waiting.push(Waiting { count: a.waiting.count + a.left, ..a.waiting });
+            }
+        }
+    }
+    for pl in p.places.iter().filter(|pl| pl.opened) {
+        out.wishes.push(Wish {
+            kind: pl.kind as u32,
+            zone: pl.zone,
+            spot: pl.spot,
+            load: pl.load,
+            priority: pl.priority,
+        });
+    }
+    out
+}
+
+impl<'a> Planner<'a> {
+    fn new(input: &'a PlanInput) -> Planner<'a> {
+        let mut p = Planner {
+            input,
+            places: Vec::new(),
+            offers_left: input.offers.iter().map(|o| o.most).collect(),
+            cpus_left: input.teams.iter().map(|t| (t.team, (t.cpus, t.gpus))).collect(),
+        };
+        for m in &input.machines {
+            p.places.push(Place {
+                machine: Some(m.key),
+                kind: m.kind as usize,
+                zone: m.zone,
+                spot: m.spot,
+                up: m.up,
+                room: Room { cpus: m.free_cpus, gpus: m.free_gpus, memory_gb: m.free_memory_gb },
+                offer: None,
+                opened: false,
+                load: 0.0,
+                priority: 9,
+            });
+        }
+        for o in 0..input.offers.len() {
+            p.open(o);
+        }
+        p
+    }
+
+    /// Adds one machine of an offer to the places, not wanted by anyone yet.
+    fn open(&mut self, o: usize) {
+        if self.offers_left[o] == 0 {
+            return;
+        }
+        self.offers_left[o] -= 1;
+        let offer = &self.input.offers[o];
+        let t = &self.input.types[offer.kind as usize];
+        self.places.push(Place {
+            machine: None,
+            kind: offer.kind as usize,
+            zone: offer.zone,
+            spot: offer.spot,
+            up: false,
+            room: Room { cpus: t.cpus, gpus: t.gpus, memory_gb: t.memory_gb },
+            offer: Some(o),
+            opened: false,
+            load: 0.0,
+            priority: 9,
+        });
+    }
+
+    fn activate(&self, j: &'a JobView) -> Active<'a> {
+        let choices: Vec<Option<Choice>> = (0..self.places.len()).map(|i| self.choice(j, i)).collect();
+        let known = || choices.iter().flatten();
+        let cheapest = known().map(|c| c.cost).fold(f64::INFINITY, f64::min);
+        let dearest = known().map(|c| c.cost).fold(0.0, f64::max);
+        let span = known()
+            .filter(|c| c.cost <= cheapest + EPS)
+            .map(|c| c.finish_s)
+            .fold(f64::INFINITY, f64::min);
+        // Average time over the places stands for the average execution time of eq. 1; tasks here
+        // have no successors.
+        let n = known().count().max(1) as f64;
+        let rank = known().map(|c| c.finish_s).sum::<f64>() / n;
+        // Budget = cheapest + B x (dearest - cheapest) for all tasks (ours), less what was spent.
+        let spare = if cheapest.is_finite() {
+            (self.input.budget_share * (dearest - cheapest) * j.tasks as f64 - j.overspent).max(0.0)
+        } else {
+            0.0
+        };
+        // Jobs without a deadline get twice their cheapest make span (ours).
+        let due_s = j.due_s.unwrap_or(2.0 * span - j.age_s);
+        Active {
+            job: j,
+            choices,
+            left: j.ready,
+            cheapest,
+            spare,
+            due_s,
+            zones: j.placed.clone(),
+            put: Default::default(),
+            waiting: Waiting { job: j.key, ..Default::default() },
+            rank,
+        }
+    }
+
+    /// Time, cost and reliability of a place for a job; none if the job may not go there.
+    fn choice(&self, j: &JobView, i: usize) -> Option<Choice> {
+        let pl = &self.places[i];
+        let t = &self.input.types[pl.kind];
+        let full = Room { cpus: t.cpus, gpus: t.gpus, memory_gb: t.memory_gb };
+        let m = pl.machine.map(|_| &self.input.machines[i]);
+        if !full.fits(j)
+            || (!j.types.is_empty() && !j.types.contains(&(pl.kind as u32)))
+            || j.zone.is_some_and(|z| z != pl.zone)
+            || (pl.spot && !j.spot)
+            || (pl.offer.is_some() && (!j.may_rent || (pl.spot && !j.new_spot)))
+            || m.is_some_and(|m| j.avoid.contains(&m.key))
+        {
+            return None;
+        }
+        let ready_s = m.map_or(t.boot_s, |m| m.ready_s);
+        let cached = m.and_then(|m| m.images.iter().find(|x| x.image == j.image));
+        let fetch_s = match cached {
+            Some(x) => x.ready_s,
+            None => {
+                // Fetches share the machine's rate.
+                let others = m.map_or(0.0, |m| m.images.iter().map(|x| x.ready_s).fold(0.0, f64::max));
+                others + j.image_gb / t.fetch_gb_per_s.max(0.01)
+            }
+        };
+        let run_s = j.run_s * m.map_or(1.0, |m| m.slowness.max(0.1));
+        let start_s = ready_s + fetch_s;
+        let share = |room: f64, need: f64| if room > EPS { need / room } else { 0.0 };
+        let share = share(t.cpus, j.cpus).max(share(t.gpus, j.gpus)).max(share(t.memory_gb, j.memory_gb));
+        let hourly = if pl.spot { t.spot_price } else { t.price };
+        // A new machine's boot is paid by the tasks that share it, and it costs 60 s at least (ours).
+        let boot = if pl.offer.is_some() {
+            let sharing = (1.0 / share.max(EPS)).floor().clamp(1.0, j.ready.max(1) as f64);
+            t.boot_s.max(60.0 - fetch_s - run_s) / sharing
+        } else {
+            0.0
+        };
+        let cost = hourly / 3600.0 * (share * (fetch_s + run_s) + boot);
+        let finish_s = start_s + run_s;
+        let reliability = if pl.spot {
+            let age = m.map_or(0.0, |m| m.age_s);
+            1.0 - log_normal_cdf(age + finish_s, self.input.spot_mu, self.input.spot_sigma)
+        } else {
+            1.0
+        };
+        Some(Choice { finish_s, start_s, cost, reliability, spot: pl.spot })
+    }
+
+    fn zone_open(a: &Active, zone: u32) -> bool {
+        let here = a.zones.iter().filter(|z| z.zone == zone).map(|z| z.count).sum::<u32>();
+        let elsewhere = a.zones.iter().any(|z| z.zone != zone && z.count > 0);
+        !(a.job.spread && here >= a.job.tasks.div_ceil(2) || a.job.one_zone && elsewhere)
+    }
+
+    /// The place of the highest quality for the job's next task (paper, lines 10-16).
+    fn best(&self, a: &Active) -> Option<usize> {
+        let open = |i: usize| {
+            let pl = &self.places[i];
+            pl.room.fits(a.job) && Self::zone_open(a, pl.zone)
+        };
+        let mut lo: Option<Choice> = None;
+        let mut hi: Option<Choice> = None;
+        let all = || a.choices.iter().enumerate().filter_map(|(i, c)| c.as_ref().map(|c| (i, c)));
+        for (_, c) in all().filter(|(i, _)| open(*i)) {
+            let l = lo.get_or_insert(*c);
+            l.finish_s = l.finish_s.min(c.finish_s);
+            l.cost = l.cost.min(c.cost);
+            let h = hi.get_or_insert(*c);
+            h.finish_s = h.finish_s.max(c.finish_s);
+            h.cost = h.cost.max(c.cost);
+        }
+        let (lo, hi) = (lo?, hi?);
+        let mut accepted: Option<(f64, usize)> = None;
+        let mut any: Option<(f64, usize)> = None;
+        for (i, c) in all().filter(|(i, _)| open(*i)) {
+            let q = quality(c, &lo, &hi);
+            if any.is_none_or(|(b, _)| q > b + EPS) {
+                any = Some((q, i));
+            }
+            let cheap = c.cost <= lo.cost + a.spare + EPS;
+            let in_time = c.finish_s <= sub_deadline(a.due_s, a.job.run_s, c.spot) + EPS;
+            if cheap && in_time && accepted.is_none_or(|(b, _)| q > b + EPS) {
+                accepted = Some((q, i));
+            }
+        }
+        accepted.or(any).map(|(_, i)| i)
+    }
+
+    /// Places the job's next task, or the whole gang. False: nothing is open to it.
+    fn place_next(&mut self, a: &mut Active) -> bool {
+        let n = if a.job.gang { a.left } else { 1 };
+        let left = self.cpus_left.get(&a.job.team).copied().unwrap_or((f64::INFINITY, f64::INFINITY));
+        if a.job.cpus * n as f64 > left.0 + EPS || a.job.gpus * n as f64 > left.1 + EPS {
+            return false;
+        }
+        let mut chosen = Vec::new();
+        for _ in 0..n {
+            // Offers opened since the job was looked at.
+            for i in a.choices.len()..self.places.len() {
+                a.choices.push(self.choice(a.job, i));
+            }
+            let Some(i) = self.best(a) else { break };
+            self.places[i].room.take(a.job);
+            bump(&mut a.zones, self.places[i].zone, 1);
+            chosen.push(i);
+            if let (Some(o), false) = (self.places[i].offer, self.places[i].opened) {
+                self.places[i].opened = true;
+                self.open(o);
+            }
+        }
+        if chosen.len() < n as usize {
+            // All of a gang or none: room that was taken for the rest is given back.
+            for i in chosen {
+                let j = a.job;
+                let room = &mut self.places[i].room;
+                room.cpus += j.cpus;
+                room.gpus += j.gpus;
+                room.memory_gb += j.memory_gb;
+                if self.places[i].offer.is_some() && self.places[i].load <= EPS {
+                    self.places[i].opened = false;
+                }
+            }
+            a.zones = a.job.placed.clone();
+            return false;
+        }
+        if let Some(l) = self.cpus_left.get_mut(&a.job.team) {
+            l.0 -= a.job.cpus * n as f64;
+            l.1 -= a.job.gpus * n as f64;
+        }
+        let all_up = chosen.iter().all(|i| self.places[*i].up);
+        for i in chosen {
+            let t = &self.input.types[self.places[i].kind];
+            let pl = &mut self.places[i];
+            let c = a.choices[i].unwrap_or(Choice {
+                finish_s: 0.0,
+                start_s: 0.0,
+                cost: 0.0,
+                reliability: 0.0,
+                spot: false,
+            });
+            let extra = (c.cost - a.cheapest).max(0.0);
+            a.spare = (a.spare - extra).max(0.0);
+            if pl.offer.is_some() {
+                let part = |room: f64, need: f64| if room > EPS { need / room } else { 0.0 };
+                pl.load += part(t.cpus, a.job.cpus)
+                    .max(part(t.gpus, a.job.gpus))
+                    .max(part(t.memory_gb, a.job.memory_gb));
+                pl.priority = pl.priority.min(a.job.priority);
+            }
+            match (all_up, pl.machine) {
+                (true, Some(key)) => {
+                    let put = a.put.entry(key).or_default();
+                    put.0 += 1;
+                    put.1 += extra;
+                }
+                _ => {
+                    a.waiting.count += 1;
+                    a.waiting.on_spot |= pl.spot && !pl.up;
+                    a.waiting.finish_s = a.waiting.finish_s.max(c.finish_s);
+                    a.waiting.ready_s = a.waiting.ready_s.max(c.start_s);
+                }
+            }
+        }
+        a.left -= n;
+        true
+    }
+}
+
+fn bump(zones: &mut Vec<ZoneCount>, zone: u32, by: u32) {
+    match zones.iter_mut().find(|z| z.zone == zone) {
+        Some(z) => z.count += by,
+        None => zones.push(ZoneCount { zone, count: by }),
+    }
+}
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,9 @@
+//! The core: no sockets, no files, no clocks. Inputs in; sends, writes and answers out.
+
+pub mod fleet;
+pub mod jobs;
+pub mod leader;
+pub mod leadership;
+pub mod miser;
+pub mod rentals;
+pub mod shares;
--- /dev/null
+++ b/src/core/rentals.rs
@@ -0,0 +1,81 @@
+//! Renting and returning machines: what the cloud has refused, and requests under way.
+
+use crate::time::{Mono, Span};
+use std::collections::BTreeMap;
+
+/// What the cloud tells capacity apart by.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub struct Market {
+    pub kind: usize,
+    pub zone: u32,
+    pub spot: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct Request {
+    pub market: Market,
+    pub number: u32,
+    pub since: Mono,
+    pub in_flight: bool,
+    pub again_at: Mono,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Block {
+    until: Mono,
+    pause: Span,
+}
+
+const FIRST_PAUSE: Span = Span(5_000);
+const LONGEST_PAUSE: Span = Span(40_000);
+/// Most rental requests under way at once.
+const MAX_REQUESTS: usize = 16;
+
+#[derive(Default)]
+pub struct Rentals {
+    blocks: BTreeMap<Market, Block>,
+    /// By request name. A name that may have been carried out is repeated until it is answered.
+    pub requests: BTreeMap<String, Request>,
+}
+
+impl Rentals {
+    pub fn open(&self, m: Market, now: Mono) -> bool {
+        self.blocks.get(&m).is_none_or(|b| b.until <= now)
+    }
+
+    /// "No capacity", or fewer machines than asked for: ask again later and later.
+    pub fn refused(&mut self, m: Market, now: Mono) {
+        let pause = match self.blocks.get(&m) {
+            Some(b) if now - b.until < b.pause => Span((b.pause.0 * 2).min(LONGEST_PAUSE.0)),
+            _ => FIRST_PAUSE,
+        };
+        self.blocks.insert(m, Block { until: now + pause, pause });
+    }
+
+    pub fn granted(&mut self, m: Market) {
+        self.blocks.remove(&m);
+    }
+
+    pub fn has_room(&self) -> bool {
+        self.requests.len() < MAX_REQUESTS
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn refusals_pause_a_market_for_longer_each_time_and_no_other() {
+        let m = Market { kind: 0, zone: 0, spot: true };
+        let other = Market { spot: false, ..m };
+        let mut r = Rentals::default();
+        r.refused(m, Mono(0));
+        assert!(!r.open(m, Mono(4_999)) && r.open(m, Mono(5_000)) && r.open(other, Mono(0)));
+        r.refused(m, Mono(5_000));
+        assert!(!r.open(m, Mono(14_999)) && r.open(m, Mono(15_000)));
+        r.granted(m);
+        r.refused(m, Mono(20_000));
+        assert!(r.open(m, Mono(25_000)));
+    }
+}
--- /dev/null
+++ b/src/ids.rs
@@ -0,0 +1,149 @@
+//! Small types for names, versions and counters, so that they can't be mixed up.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::sync::Arc;
+
+/// Name of a job, such as `req-000412`.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct JobId(pub Arc<str>);
+
+impl JobId {
+    /// Checks the one form that job names have: `req-` and six or more digits.
+    pub fn parse(s: &str) -> Option<JobId> {
+        let digits = s.strip_prefix("req-")?;
+        let ok = (6..=18).contains(&digits.len()) && digits.bytes().all(|b| b.is_ascii_digit());
+        ok.then(|| JobId(s.into()))
+    }
+}
+
+impl fmt::Display for JobId {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// Name of a machine, such as `m-000231`.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct MachineId(pub Arc<str>);
+
+impl MachineId {
+    /// A machine name must be a legal part of a state key.
+    pub fn parse(s: &str) -> Option<MachineId> {
+        let ok = !s.is_empty() && s.len() <= 100 && s.bytes().all(|b| b.is_ascii_graphic() && b != b'/' && b != b'?');
+        ok.then(|| MachineId(s.into()))
+    }
+}
+
+impl fmt::Display for MachineId {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// One task of a job: `req-000412/3`.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
+pub struct TaskId {
+    pub job: JobId,
+    pub index: u32,
+}
+
+impl TaskId {
+    pub fn parse(s: &str) -> Option<TaskId> {
+        let (job, index) = s.split_once('/')?;
+        Some(TaskId { job: JobId::parse(job)?, index: index.parse().ok()? })
+    }
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "{}/{}", self.job, self.index)
+    }
+}
+
+macro_rules! counter {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Default, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+                write!(f, "{}", self.0)
+            }
+        }
+    };
+}
+
+counter!(
+    /// Version of a key in the state service.
+    Stamp
+);
+counter!(
+    /// The revision at which a leader took office; later leaders have larger ones.
+    Term
+);
+counter!(
+    /// What entitles to give a worker orders: term and fence in one number.
+    Baton
+);
+counter!(
+    /// Number of one start of a task.
+    Attempt
+);
+counter!(
+    /// A worker's session.
+    Shift
+);
+counter!(
+    /// A worker's message count.
+    Tally
+);
+counter!(
+    /// A lease of the state service.
+    Hold
+);
+
+const FENCE_BITS: u32 = 14;
+const ATTEMPT_BITS: u32 = 22;
+
+impl Baton {
+    pub fn new(term: Term, fence: u64) -> Baton {
+        Baton((term.0 << FENCE_BITS) | (fence & ((1 << FENCE_BITS) - 1)))
+    }
+}
+
+/// How often a fence may rise within a term; a leader that gets there hands over.
+pub const MAX_FENCE: u64 = (1 << FENCE_BITS) - 1;
+
+impl Attempt {
+    /// Attempts carry the term, so that no two leaders ever choose the same number.
+    pub fn new(term: Term, n: u64) -> Attempt {
+        Attempt((term.0 << ATTEMPT_BITS) | (n & ((1 << ATTEMPT_BITS) - 1)))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn names_have_one_form() {
+        assert!(JobId::parse("req-000412").is_some());
+        for bad in ["", "req-", "req-12", "REQ-000412", "req-00041x", "req-000412/1", "req-000 12"] {
+            assert!(JobId::parse(bad).is_none(), "{bad}");
+        }
+        let t = TaskId::parse("req-000412/3").unwrap();
+        assert_eq!((t.index, t.to_string().as_str()), (3, "req-000412/3"));
+        assert!(TaskId::parse("req-000412/-1").is_none());
+        assert!(MachineId::parse("m-1/x").is_none());
+    }
+
+    #[test]
+    fn a_later_term_outranks_every_fence_and_attempt() {
+        assert!(Baton::new(Term(5), MAX_FENCE) < Baton::new(Term(6), 0));
+        assert!(Attempt::new(Term(5), 9999) < Attempt::new(Term(6), 0));
+    }
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,91 @@
+//! wallstile: a cluster scheduler.
+
+mod config;
+mod core;
+mod ids;
+mod net;
+mod peer;
+mod time;
+mod wire;
+
+use clap::{Parser, Subcommand};
+use std::process::ExitCode;
+
+#[derive(Parser)]
+#[command(version, about = "A cluster scheduler. Runs one controller until it is killed.")]
+struct Cli {
+    #[command(subcommand)]
+    command: Option<Command>,
+    /// Settings of the platform (JSON)
+    #[arg(long, value_name = "FILE")]
+    config: Option<String>,
+    /// Settings of the operators (XML)
+    #[arg(long, value_name = "FILE", global = true)]
+    tuning: Option<String>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Check settings without starting
+    Check {
+        /// Settings of the platform (JSON)
+        file: String,
+    },
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let level = std::env::var("LOG_LEVEL").unwrap_or_else(|_| "info".into());
+    let level = match level.as_str() {
+        "error" | "warn" | "info" | "debug" => level,
+        other => {
+            eprintln!("wallstile: LOG_LEVEL must be error, warn, info or debug, not {other:?}");
+            return ExitCode::from(2);
+        }
+    };
+    env_logger::Builder::new()
+        .filter_level(log::LevelFilter::Error)
+        .filter_module("wallstile", level.parse().unwrap_or(log::LevelFilter::Info))
+        .format(|buf, r| {
+            use std::io::Write;
+            let target = r.target().rsplit("::").next().unwrap_or_default();
+            writeln!(buf, "{} {target}: {}", r.level().as_str().to_lowercase(), r.args())
+        })
+        .init();
+    match run(cli) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("wallstile: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(cli: Cli) -> Result<(), String> {
+    let tuning = match &cli.tuning {
+        Some(path) => config::Tuning::load(path).map_err(|e| e.to_string())?,
+        None => config::Tuning::default(),
+    };
+    if let Some(Command::Check { file }) = &cli.command {
+        let s = config::Settings::load(file).map_err(|e| e.to_string())?;
+        println!("{file}: ok, controller {} of {}", s.name, s.peers.len() + 1);
+        return Ok(());
+    }
+    let path = cli.config.ok_or("no settings: give --config FILE")?;
+    let settings = config::Settings::load(&path).map_err(|e| e.to_string())?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .max_blocking_threads(1)
+        .build()
+        .map_err(|e| e.to_string())?;
+    runtime.block_on(async {
+        let node = net::node::Node::new(settings, tuning);
+        log::info!("starting {} on {}", node.settings.name, node.settings.listen);
+        tokio::spawn(net::leading::learn_types(node.clone()));
+        tokio::spawn(net::election::run(node.clone()));
+        let users = net::server::serve(node.settings.listen, net::server::public(&node));
+        let peers = net::server::serve(node.settings.peer_listen, net::server::internal(&node));
+        // Neither listener ever ends in good order.
+        tokio::select! { r = users => r, r = peers => r }
+    })
+}
--- /dev/null
+++ b/src/net/cloud.rs
@@ -0,0 +1,96 @@
+//! Client of the cloud. Calls keep to the cloud's rate; rentals and returns go before lists.
+
+use super::http::Http;
+use crate::core::leader::RentResult;
+use crate::time::{Mono, Span};
+use crate::wire::{ListedMachine, MachineList, MachineNames, MachineType, MachineTypes, RentRequest};
+use hyper::Method;
+use std::sync::Mutex;
+
+pub struct CloudClient {
+    addr: String,
+    every: Span,
+    next: Mutex<Mono>,
+}
+
+const LIMIT: Span = Span(4_000);
+/// Calls wait for their turn up to this long, then fail.
+const LONGEST_QUEUE: Span = Span(5_000);
+
+impl CloudClient {
+    pub fn new(addr: String, rps: f64) -> CloudClient {
+        CloudClient { addr, every: Span::secs(1.0 / (rps * 0.8)), next: Mutex::new(Mono(0)) }
+    }
+
+    /// Waits for a turn. False: too many are waiting, or (not urgent) somebody is.
+    async fn turn(&self, now: Mono, urgent: bool) -> bool {
+        let at = {
+            let mut next = self.next.lock().unwrap_or_else(|e| e.into_inner());
+            // A burst worth half a second may go at once.
+            let at = (*next).max(Mono(now.0.saturating_sub(500)));
+            let wait = at - now;
+            if wait > LONGEST_QUEUE || (!urgent && wait > Span(0)) {
+                return false;
+            }
+            *next = at + self.every;
+            at
+        };
+        tokio::time::sleep((at - now).std()).await;
+        true
+    }
+
+    pub async fn types(&self, http: &Http, now: Mono) -> Option<Vec<MachineType>> {
+        if !self.turn(now, true).await {
+            return None;
+        }
+        match http.call(Method::GET, &self.addr, "/machine_types", vec![], LIMIT).await {
+            Ok((200, body)) => serde_json::from_slice::<MachineTypes>(&body).ok().map(|t| t.builds),
+            _ => None,
+        }
+    }
+
+    pub async fn rent(&self, http: &Http, now: Mono, r: &RentRequest) -> RentResult {
+        let Ok(body) = serde_json::to_vec(r) else { return RentResult::Malformed };
+        if !self.turn(now, true).await {
+            return RentResult::Unknown;
+        }
+        match http.call(Method::POST, &self.addr, "/machines", body, LIMIT).await {
+            Ok((200, body)) => match serde_json::from_slice::<MachineNames>(&body) {
+                Ok(n) => RentResult::Rented(n.plinths),
+                Err(_) => RentResult::Unknown,
+            },
+            Ok((503, body)) if String::from_utf8_lossy(&body).contains("no capacity") => RentResult::NoCapacity,
+            Ok((400, _)) => RentResult::Malformed,
+            _ => RentResult::Unknown,
+        }
+    }
+
+    pub async fn give_back(&self, http: &Http, now: Mono, names: Vec<String>) -> bool {
+        let Ok(body) = serde_json::to_vec(&MachineNames { plinths: names }) else { return false };
+        if !self.turn(now, true).await {
+            return false;
+        }
+        let answer = http.call(Method::POST, &self.addr, "/machines/return", body, LIMIT).await;
+        matches!(answer, Ok((200, _)))
+    }
+
+    pub async fn list(&self, http: &Http, now: Mono) -> Option<Vec<ListedMachine>> {
+        let mut all: Vec<ListedMachine> = Vec::new();
+        loop {
+            if !self.turn(now, false).await {
+                return None;
+            }
+            let since = all.last().map(|m| format!("&since={}", m.id)).unwrap_or_default();
+            let path = format!("/machines?limit=500{since}");
+            let (200, body) = http.call(Method::GET, &self.addr, &path, vec![], LIMIT).await.ok()? else {
+                return None;
+            };
+            let page: MachineList = serde_json::from_slice(&body).ok()?;
+            let more = page.has_next && !page.plinths.is_empty();
+            all.extend(page.plinths);
+            if !more {
+                return Some(all);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/net/leading.rs
@@ -0,0 +1,253 @@
+//! The leader's work: loads the ledger, feeds it, and carries out what it asks for.
+
+use super::node::Node;
+use super::peers;
+use super::state::{StateError, commit_result};
+use crate::core::jobs::{BITS, LIVE};
+use crate::core::fleet::FLEET;
+use crate::core::leader::{Action, Leader, OrdersResult, Stored};
+use crate::ids::{JobId, Stamp, Term};
+use crate::time::Span;
+use crate::wire::{Change, DirectOrders, Guard, LogEntry, MachineType, Report, Txn};
+use hyper::Method;
+use log::{debug, info, warn};
+use serde_json::json;
+use std::sync::Arc;
+
+pub const KINDS_KEY: &str = "ctl/kinds";
+const TICK: Span = Span(50);
+
+/// Keeps the machine kinds known: from the state service, or (the leader) from the cloud.
+pub async fn learn_types(node: Arc<Node>) {
+    loop {
+        let row = node.state.get(&node.http, KINDS_KEY).await;
+        node.heard_state(&row);
+        if let Ok(Some(row)) = row {
+            match serde_json::from_value::<Vec<MachineType>>(row.value) {
+                Ok(types) if !types.is_empty() => {
+                    node.lock().types = Some(types);
+                    return;
+                }
+                _ => warn!("state: {KINDS_KEY} can't be read"),
+            }
+        }
+        if node.lock().types.is_some() {
+            return;
+        }
+        tokio::time::sleep(Span(400).std()).await;
+    }
+}
+
+async fn types_for_office(node: &Arc<Node>) -> Vec<MachineType> {
+    loop {
+        if let Some(t) = node.lock().types.clone() {
+            return t;
+        }
+        if let Some(types) = node.cloud.types(&node.http, node.now()).await
+            && !types.is_empty()
+        {
+            let txn = Txn {
+                guards: vec![Guard { path: KINDS_KEY.into(), stamp: 0 }],
+                apply: vec![Change::write(KINDS_KEY, json!(types))],
+            };
+            let r = node.state.commit(&node.http, &txn).await;
+            node.heard_state(&r);
+            node.lock().types = Some(types);
+            continue;
+        }
+        tokio::time::sleep(Span(500).std()).await;
+    }
+}
+
+fn in_office(node: &Node, term: Term) -> bool {
+    node.lock().leadership.office().is_some_and(|o| o.term == term)
+}
+
+pub async fn run(node: Arc<Node>, term: Term) {
+    let since = node.now();
+    let types = types_for_office(&node).await;
+    let (stored, epoch) = loop {
+        match load(&node).await {
+            Ok(x) => break x,
+            Err(e) => debug!("loading: {e}"),
+        }
+        tokio::time::sleep(Span(150).std()).await;
+    };
+    let now = node.now();
+    let mut leader = Leader::new(node.settings.clone(), node.tuning.clone(), types, term, since);
+    leader.load(now, stored);
+    {
+        let mut i = node.lock();
+        if i.leadership.office().is_none_or(|o| o.term != term) {
+            return;
+        }
+        i.leader = Some(leader);
+    }
+    tokio::join!(tick(&node, term), follow(&node, term, epoch), watch_cloud(&node, term), tell_peers(&node, term));
+}
+
+async fn load(node: &Node) -> Result<(Stored, u64), StateError> {
+    let (live, epoch) = node.state.list(&node.http, LIVE).await?;
+    let (bits, _) = node.state.list(&node.http, BITS).await?;
+    let (fleet, _) = node.state.list(&node.http, FLEET).await?;
+    Ok((Stored { live, bits, fleet }, epoch))
+}
+
+/// Feeds the ledger something and carries out what follows. Outside the bound of the office
+/// nothing is fed, so nothing goes out.
+pub fn feed<T>(node: &Arc<Node>, f: impl FnOnce(&mut Leader) -> T) -> Option<T> {
+    let now = node.now();
+    let (x, actions) = {
+        let mut i = node.lock();
+        i.leadership.acting(now)?;
+        let leader = i.leader.as_mut()?;
+        let x = f(leader);
+        (x, leader.take_actions())
+    };
+    for a in actions {
+        tokio::spawn(perform(node.clone(), a));
+    }
+    Some(x)
+}
+
+async fn perform(node: Arc<Node>, action: Action) {
+    match action {
+        Action::Orders { ticket, endpoint, body } => {
+            let body = serde_json::to_vec(&DirectOrders::from(body)).unwrap_or_default();
+            let answer = node.http.call(Method::POST, &endpoint, "/orders", body, Span(2_000)).await;
+            let report = |b: &[u8]| serde_json::from_slice::<Report>(b).ok();
+            let result = match answer {
+                Ok((200, b)) => report(&b).map_or(OrdersResult::Unknown, OrdersResult::Executed),
+                Ok((409, b)) => report(&b).map_or(OrdersResult::Unknown, OrdersResult::Rejected),
+                Ok((status, _)) => {
+                    warn!("orders to {endpoint}: status {status}");
+                    OrdersResult::Unknown
+                }
+                Err(e) => {
+                    debug!("orders to {endpoint}: {e}");
+                    OrdersResult::Unknown
+                }
+            };
+            // Kept even while not acting: it is knowledge, not an order.
+            let now = node.now();
+            if let Some(l) = &mut node.lock().leader {
+                l.on_orders_result(now, ticket, result);
+            }
+            feed(&node, |_| ());
+        }
+        Action::Commit { ticket, txn } => {
+            let r = node.state.commit(&node.http, &txn).await;
+            node.heard_state(&r);
+            let now = node.now();
+            if let Some(l) = &mut node.lock().leader {
+                l.on_committed(now, ticket, commit_result(&r));
+            }
+            feed(&node, |_| ());
+        }
+        Action::Rent(request) => {
+            let result = node.cloud.rent(&node.http, node.now(), &request).await;
+            let now = node.now();
+            if let Some(l) = &mut node.lock().leader {
+                l.on_rented(now, &request.hire, result);
+            }
+        }
+        Action::Return(ids) => {
+            let names = ids.iter().map(|i| i.to_string()).collect();
+            let ok = node.cloud.give_back(&node.http, node.now(), names).await;
+            let now = node.now();
+            if let Some(l) = &mut node.lock().leader {
+                l.on_returned(now, &ids, ok);
+            }
+        }
+    }
+}
+
+async fn tick(node: &Arc<Node>, term: Term) {
+    while in_office(node, term) {
+        let (now, wall) = (node.now(), node.wall());
+        feed(node, |l| l.tick(now, wall));
+        tokio::time::sleep(TICK.std()).await;
+    }
+}
+
+/// Follows the live jobs: new ones, and those that their users have cancelled.
+async fn follow(node: &Arc<Node>, term: Term, mut since: u64) {
+    while in_office(node, term) {
+        let log = node.state.follow(&node.http, LIVE, since, Span(3_000)).await;
+        if !matches!(log, Err(StateError::Unknown(_))) {
+            node.heard_state(&log);
+        }
+        let now = node.now();
+        match log {
+            Ok(Some(log)) => {
+                since = since.max(log.epoch);
+                let mut i = node.lock();
+                let Some(l) = &mut i.leader else { continue };
+                for e in log.log {
+                    let (key, value) = match e {
+                        LogEntry::Write { write, value, stamp } => (write, Some((value, stamp))),
+                        LogEntry::Drop { drop, .. } => (drop, None),
+                    };
+                    let Some(id) = key.strip_prefix(LIVE).and_then(JobId::parse) else { continue };
+                    match value {
+                        Some((value, stamp)) => l.on_live(&id, &value, Stamp(stamp)),
+                        None => l.on_over(now, &id),
+                    }
+                }
+            }
+            Ok(None) => match node.state.list(&node.http, LIVE).await {
+                Ok((rows, epoch)) => {
+                    since = epoch;
+                    if let Some(l) = &mut node.lock().leader {
+                        l.reload_live(now, rows, epoch);
+                    }
+                }
+                Err(_) => tokio::time::sleep(Span(300).std()).await,
+            },
+            Err(e) => {
+                debug!("following jobs: {e}");
+                tokio::time::sleep(Span(200).std()).await;
+            }
+        }
+        feed(node, |_| ());
+    }
+}
+
+async fn watch_cloud(node: &Arc<Node>, term: Term) {
+    let lag = Span::secs(node.settings.cluster.cloud.list_lag_s);
+    let every = Span((lag.0 / 2).clamp(2_000, 10_000));
+    let mut rounds = 0u64;
+    while in_office(node, term) {
+        if let Some(list) = node.cloud.list(&node.http, node.now()).await {
+            let now = node.now();
+            feed(node, |l| l.on_list(now, &list));
+        }
+        if rounds % 8 == 1
+            && let Some(types) = node.cloud.types(&node.http, node.now()).await
+        {
+            let mut i = node.lock();
+            if let Some(l) = &mut i.leader {
+                l.set_types(types);
+            }
+        }
+        rounds += 1;
+        tokio::time::sleep(every.std()).await;
+    }
+}
+
+/// Tells the peers how many tasks of each job run, for polls that reach them.
+async fn tell_peers(node: &Arc<Node>, term: Term) {
+    while in_office(node, term) {
+        let mut hello = peers::hello(node);
+        hello.leading = true;
+        hello.term = term.0;
+        {
+            let mut i = node.lock();
+            hello.counts = i.leader.as_ref().map(|l| l.counts()).unwrap_or_default();
+            i.counts = hello.counts.iter().map(|c| (c.job.clone(), c.clone())).collect();
+        }
+        peers::ask_all(node, &hello, Span(800)).await;
+        tokio::time::sleep(Span(1_000).std()).await;
+    }
+    info!("no longer leading: term={term}");
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,11 @@
+//! The edges: sockets and timers round the core.
+
+pub mod cloud;
+pub mod election;
+pub mod http;
+pub mod leading;
+pub mod node;
+pub mod peers;
+pub mod server;
+pub mod state;
+pub mod users;
--- /dev/null
+++ b/src/net/node.rs
@@ -0,0 +1,123 @@
+//! What the tasks of one controller share.
+
+use super::cloud::CloudClient;
+use super::http::Http;
+use super::state::{StateClient, StateError};
+use crate::config::{Settings, Tuning};
+use crate::core::jobs::OverRecord;
+use crate::core::leader::Leader;
+use crate::core::leadership::Leadership;
+use crate::ids::JobId;
+use crate::peer::JobCount;
+use crate::time::{Mono, Wall};
+use crate::wire::MachineType;
+use std::collections::{HashMap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+pub struct Node {
+    pub settings: Settings,
+    pub tuning: Tuning,
+    pub http: Http,
+    pub state: StateClient,
+    pub cloud: CloudClient,
+    /// Tells this process from earlier ones at the same address.
+    pub incarnation: u64,
+    started: Instant,
+    inner: Mutex<Inner>,
+}
+
+pub struct Inner {
+    pub leadership: Leadership,
+    /// The ledger, while in office and once it is loaded.
+    pub leader: Option<Leader>,
+    /// Who leads, as last read from the state service.
+    pub leader_name: Option<String>,
+    pub types: Option<Vec<MachineType>>,
+    pub finals: Finals,
+    pub counts: HashMap<String, JobCount>,
+    pub user_requests: usize,
+    pub refused_since: Option<Mono>,
+    pub peer_has_state: bool,
+}
+
+/// Jobs known to be over. What isn't here is read from the state service.
+pub struct Finals {
+    map: HashMap<JobId, OverRecord>,
+    order: VecDeque<JobId>,
+}
+
+const MAX_FINALS: usize = 20_000;
+
+impl Finals {
+    pub fn get(&self, id: &JobId) -> Option<OverRecord> {
+        self.map.get(id).copied()
+    }
+    pub fn put(&mut self, id: &JobId, record: OverRecord) {
+        if self.map.insert(id.clone(), record).is_none() {
+            self.order.push_back(id.clone());
+            if self.order.len() > MAX_FINALS
+                && let Some(old) = self.order.pop_front()
+            {
+                self.map.remove(&old);
+            }
+        }
+    }
+}
+
+impl Node {
+    pub fn new(settings: Settings, tuning: Tuning) -> Arc<Node> {
+        let cloud = CloudClient::new(settings.services.cloud.to_string(), settings.cluster.cloud.rps);
+        let state = StateClient::new(settings.services.state.to_string());
+        let inner = Inner {
+            leadership: Leadership::new(settings.state_ttl()),
+            leader: None,
+            leader_name: None,
+            types: None,
+            finals: Finals { map: HashMap::new(), order: VecDeque::new() },
+            counts: HashMap::new(),
+            user_requests: 0,
+            refused_since: None,
+            peer_has_state: false,
+        };
+        Arc::new(Node {
+            settings,
+            tuning,
+            http: Http::new(),
+            state,
+            cloud,
+            incarnation: rand::random::<u64>() >> 1,
+            started: Instant::now(),
+            inner: Mutex::new(inner),
+        })
+    }
+
+    pub fn now(&self) -> Mono {
+        Mono(self.started.elapsed().as_millis() as u64)
+    }
+
+    pub fn wall(&self) -> Wall {
+        Wall(SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64))
+    }
+
+    /// Never held over an await.
+    pub fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// Notes whether the state service serves this controller. Anything but 503 and silence does.
+    pub fn heard_state<T>(&self, r: &Result<T, StateError>) {
+        let now = self.now();
+        let mut i = self.lock();
+        match r {
+            Err(StateError::Refused | StateError::Unknown(_)) => {
+                i.leadership.state_refused();
+                i.refused_since.get_or_insert(now);
+            }
+            _ => {
+                i.leadership.state_answered();
+                i.refused_since = None;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/net/server.rs
@@ -0,0 +1,142 @@
+//! The listening side: users, workers and health checks on one address, peers on the other.
+
+use super::leading;
+use super::node::Node;
+use super::peers;
+use super::users::{self, Reply};
+use crate::ids::Baton;
+use crate::wire::{Report, ReportAnswer};
+use salvo::prelude::*;
+use serde_json::json;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// The limit of the protocol on a request's body.
+const MAX_BODY: usize = 64 * 1024;
+const MAX_PEER_BODY: usize = 2 << 20;
+
+#[derive(Clone, Copy)]
+enum Route {
+    Submit,
+    Poll,
+    Withdraw,
+    Health,
+    Report,
+    Hello,
+}
+
+struct Edge {
+    node: Arc<Node>,
+    route: Route,
+}
+
+#[salvo::handler]
+impl Edge {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
+        let node = &self.node;
+        match self.route {
+            Route::Health => {
+                let ok = users::healthy(node);
+                send(res, if ok { 200 } else { 503 }, json!({ "ok": ok }).to_string());
+            }
+            Route::Submit => match req.payload_with_max_size(MAX_BODY).await {
+                Ok(body) => {
+                    let body = body.clone();
+                    reply(res, users::submit(node, &body).await);
+                }
+                Err(_) => reply(res, Reply::error(400, "the body can't be read or is over 64 KiB")),
+            },
+            Route::Poll => {
+                let id = req.param::<String>("id").unwrap_or_default();
+                reply(res, users::poll(node, &id).await);
+            }
+            Route::Withdraw => {
+                let id = req.param::<String>("id").unwrap_or_default();
+                reply(res, users::withdraw(node, &id).await);
+                leading::feed(node, |_| ());
+            }
+            Route::Report => {
+                let body = req.payload_with_max_size(4 * MAX_BODY).await;
+                let report = body.ok().and_then(|b| serde_json::from_slice::<Report>(b).ok());
+                match report {
+                    Some(r) => self.report(&r, res),
+                    None => send(res, 400, json!({"error": "not a report"}).to_string()),
+                }
+            }
+            Route::Hello => {
+                let body = req.payload_with_max_size(MAX_PEER_BODY).await;
+                match body.ok().and_then(|b| peers::answer(node, b)) {
+                    Some(answer) => {
+                        res.status_code(StatusCode::OK);
+                        let _ = res.write_body(answer);
+                    }
+                    None => send(res, 400, json!({"error": "not a message of this version"}).to_string()),
+                }
+            }
+        }
+    }
+}
+
+impl Edge {
+    fn report(&self, r: &Report, res: &mut Response) {
+        let node = &self.node;
+        let now = node.now();
+        let (term, loaded, steward) = {
+            let i = node.lock();
+            (i.leadership.acting(now), i.leader.is_some(), i.leader_name.clone())
+        };
+        if let Some(term) = term {
+            let answer = if loaded {
+                leading::feed(node, |l| l.on_report(now, r)).flatten()
+            } else {
+                // In office, but the ledger is still being read: the lease is renewed, no more.
+                Some(ReportAnswer { baton: Baton::new(term, 0), orders: Vec::new() })
+            };
+            return match answer {
+                Some(a) => send(res, 200, json!(a).to_string()),
+                None => send(res, 503, json!({"error": "not answered"}).to_string()),
+            };
+        }
+        match steward.filter(|s| *s != node.settings.name) {
+            Some(s) => send(res, 421, json!({ "steward": s }).to_string()),
+            None => send(res, 421, json!({}).to_string()),
+        }
+    }
+}
+
+fn send(res: &mut Response, status: u16, body: String) {
+    res.status_code(StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
+    res.render(Text::Json(body));
+}
+
+fn reply(res: &mut Response, r: Reply) {
+    if let Some(s) = r.retry_after {
+        let _ = res.add_header("retry-after", s.to_string(), true);
+    }
+    send(res, r.status, r.body);
+}
+
+fn edge(node: &Arc<Node>, route: Route) -> Edge {
+    Edge { node: node.clone(), route }
+}
+
+pub fn public(node: &Arc<Node>) -> Router {
+    Router::new()
+        .push(Router::with_path("healthz").get(edge(node, Route::Health)))
+        .push(
+            Router::with_path("api/jobs")
+                .post(edge(node, Route::Submit))
+                .push(Router::with_path("{id}").get(edge(node, Route::Poll)))
+                .push(Router::with_path("{id}/withdraw").post(edge(node, Route::Withdraw))),
+        )
+        .push(Router::with_path("v1/report").post(edge(node, Route::Report)))
+}
+
+pub fn internal(node: &Arc<Node>) -> Router {
+    Router::new().push(Router::with_path("peer/hello").post(edge(node, Route::Hello)))
+}
+
+pub async fn serve(addr: SocketAddr, router: Router) -> Result<(), String> {
+    let listener = TcpListener::new(addr).try_bind().await.map_err(|e| format!("{addr}: {e}"))?;
+    Server::new(listener).try_serve(router).await.map_err(|e| format!("{addr}: {e}"))
+}
--- /dev/null
+++ b/src/net/state.rs
@@ -0,0 +1,162 @@
+//! Client of the state service.
+
+use super::http::Http;
+use crate::core::leader::CommitResult;
+use crate::ids::Hold;
+use crate::time::Span;
+use crate::wire::{Log, Row, Rows, Txn};
+use hyper::Method;
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use serde_json::json;
+
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+pub enum StateError {
+    /// 503: not carried out.
+    #[error("refused")]
+    Refused,
+    /// 429: not carried out, too many requests.
+    #[error("too many requests")]
+    Busy,
+    /// Perhaps carried out.
+    #[error("no answer: {0}")]
+    Unknown(String),
+    /// An answer that the protocol doesn't foresee.
+    #[error("status {0}")]
+    Status(u16),
+}
+
+const LIMIT: Span = Span(1_200);
+
+pub struct StateClient {
+    addr: String,
+}
+
+#[derive(Deserialize)]
+struct Failed {
+    #[serde(default)]
+    failed: Vec<String>,
+}
+#[derive(Deserialize)]
+struct Epoch {
+    epoch: u64,
+}
+#[derive(Deserialize)]
+struct Tenure {
+    tenure: Hold,
+}
+
+impl StateClient {
+    pub fn new(addr: String) -> StateClient {
+        StateClient { addr }
+    }
+
+    async fn call(
+        &self,
+        http: &Http,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+        limit: Span,
+    ) -> Result<(u16, bytes::Bytes), StateError> {
+        match http.call(method, &self.addr, path, body, limit).await {
+            Ok((503, _)) => Err(StateError::Refused),
+            Ok((429, _)) => Err(StateError::Busy),
+            Ok(answer) => Ok(answer),
+            Err(e) => Err(StateError::Unknown(e.to_string())),
+        }
+    }
+
+    /// A linearizable read; None: the key is absent.
+    pub async fn get(&self, http: &Http, key: &str) -> Result<Option<Row>, StateError> {
+        match self.call(http, Method::GET, &format!("/store/{key}"), vec![], LIMIT).await? {
+            (200, body) => parse(&body).map(Some),
+            (404, _) => Ok(None),
+            (s, _) => Err(StateError::Status(s)),
+        }
+    }
+
+    /// All keys with the prefix, and the revision from which to follow them.
+    pub async fn list(&self, http: &Http, prefix: &str) -> Result<(Vec<Row>, u64), StateError> {
+        let mut rows: Vec<Row> = Vec::new();
+        let mut epoch = None;
+        loop {
+            let since = rows.last().map(|r| format!("&since={}", r.path)).unwrap_or_default();
+            let path = format!("/store?prefix={prefix}{since}&limit=500");
+            let (status, body) = self.call(http, Method::GET, &path, vec![], Span(3_000)).await?;
+            if status != 200 {
+                return Err(StateError::Status(status));
+            }
+            let page: Rows = parse(&body)?;
+            // Changes after the first page are seen again by the watch.
+            let epoch = *epoch.get_or_insert(page.epoch);
+            let more = page.has_next && !page.rows.is_empty();
+            rows.extend(page.rows);
+            if !more {
+                return Ok((rows, epoch));
+            }
+        }
+    }
+
+    /// The revision of the commit, or why there is none.
+    pub async fn commit(&self, http: &Http, txn: &Txn) -> Result<Result<u64, Vec<String>>, StateError> {
+        let body = serde_json::to_vec(txn).map_err(|e| StateError::Unknown(e.to_string()))?;
+        match self.call(http, Method::POST, "/commit", body, LIMIT).await? {
+            (200, body) => Ok(Ok(parse::<Epoch>(&body)?.epoch)),
+            (409, body) => Ok(Err(parse::<Failed>(&body)?.failed)),
+            (s, _) => Err(StateError::Status(s)),
+        }
+    }
+
+    pub async fn hold(&self, http: &Http, life: Span) -> Result<Hold, StateError> {
+        let body = json!({ "life_ms": life.0 }).to_string().into_bytes();
+        match self.call(http, Method::POST, "/holds", body, LIMIT).await? {
+            (200 | 201, body) => Ok(parse::<Tenure>(&body)?.tenure),
+            (s, _) => Err(StateError::Status(s)),
+        }
+    }
+
+    /// False: the lease has ended.
+    pub async fn extend(&self, http: &Http, hold: Hold, limit: Span) -> Result<bool, StateError> {
+        match self.call(http, Method::POST, &format!("/holds/{hold}/extend"), b"{}".to_vec(), limit).await? {
+            (200, _) => Ok(true),
+            (404, _) => Ok(false),
+            (s, _) => Err(StateError::Status(s)),
+        }
+    }
+
+    pub async fn end(&self, http: &Http, hold: Hold) -> Result<(), StateError> {
+        match self.call(http, Method::DELETE, &format!("/holds/{hold}"), vec![], LIMIT).await? {
+            (200 | 204 | 404, _) => Ok(()),
+            (s, _) => Err(StateError::Status(s)),
+        }
+    }
+
+    /// Changes after `since`; None: too old, all must be read again.
+    pub async fn follow(
+        &self,
+        http: &Http,
+        prefix: &str,
+        since: u64,
+        block: Span,
+    ) -> Result<Option<Log>, StateError> {
+        let path = format!("/follow?prefix={prefix}&since={since}&block_ms={}", block.0);
+        match self.call(http, Method::GET, &path, vec![], Span(block.0 + 2_000)).await? {
+            (200, body) => parse(&body).map(Some),
+            (410, _) => Ok(None),
+            (s, _) => Err(StateError::Status(s)),
+        }
+    }
+}
+
+pub fn commit_result(r: &Result<Result<u64, Vec<String>>, StateError>) -> CommitResult {
+    match r {
+        Ok(Ok(_)) => CommitResult::Done,
+        Ok(Err(failed)) => CommitResult::Conflict(failed.clone()),
+        Err(_) => CommitResult::Failed,
+    }
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, StateError> {
+    serde_json::from_slice(body).map_err(|e| StateError::Unknown(format!("unreadable answer: {e}")))
+}
--- /dev/null
+++ b/src/wire.rs
@@ -0,0 +1,330 @@
+//! The JSON of users, workers, cloud and state service. The odd names of the wire stay here.
+
+use crate::ids::{Attempt, Baton, Shift, Tally};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub enum Kind {
+    #[serde(rename = "batch")]
+    Array,
+    #[serde(rename = "ensemble")]
+    Gang,
+    #[serde(rename = "service")]
+    Service,
+}
+
+/// From the most urgent to the least.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Priority {
+    Prod,
+    High,
+    Normal,
+    Low,
+}
+
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct JobSpec {
+    pub id: String,
+    #[serde(rename = "berth")]
+    pub class: String,
+    #[serde(rename = "crew")]
+    pub team: String,
+    #[serde(rename = "shape")]
+    pub kind: Kind,
+    #[serde(rename = "rank")]
+    pub priority: Priority,
+    #[serde(rename = "lots")]
+    pub tasks: u32,
+    #[serde(rename = "cores")]
+    pub cpus: f64,
+    pub gpus: f64,
+    #[serde(rename = "ram_gb")]
+    pub memory_gb: f64,
+    #[serde(rename = "cast")]
+    pub image: String,
+    #[serde(rename = "pull_gb")]
+    pub image_gb: f64,
+    #[serde(rename = "builds", default, skip_serializing_if = "Option::is_none")]
+    pub types: Option<Vec<String>>,
+    #[serde(rename = "quay", default, skip_serializing_if = "Option::is_none")]
+    pub zone: Option<String>,
+    #[serde(rename = "same_place")]
+    pub one_zone: bool,
+    #[serde(rename = "apart")]
+    pub spread: bool,
+    #[serde(rename = "loaner")]
+    pub spot: bool,
+    #[serde(rename = "expect_s")]
+    pub estimate_s: f64,
+    #[serde(rename = "mark_s")]
+    pub checkpoint_s: f64,
+    #[serde(rename = "stow_s")]
+    pub save_s: f64,
+    #[serde(rename = "due_s", default, skip_serializing_if = "Option::is_none")]
+    pub deadline_s: Option<f64>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum JobPhase {
+    Queued,
+    Running,
+    Done,
+    Aborted,
+}
+
+#[derive(Clone, Debug, Serialize)]
+pub struct JobAnswer<'a> {
+    pub id: &'a str,
+    pub phase: JobPhase,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub done: Option<u32>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub running: Option<u32>,
+}
+
+// ---- workers
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum LotPhase {
+    Pulling,
+    Waiting,
+    Running,
+    Flushing,
+    Exited,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Cause {
+    Done,
+    Halted,
+    MatesGone,
+    Alone,
+    Error,
+    NoRoom,
+    InUse,
+    Unknown,
+    /// A cause this version doesn't know; the task is gone all the same.
+    #[serde(other)]
+    Other,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct LotReport {
+    pub lot: String,
+    #[serde(rename = "try")]
+    pub attempt: Attempt,
+    pub phase: LotPhase,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cause: Option<Cause>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub kept: Option<bool>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Report {
+    #[serde(rename = "plinth")]
+    pub machine: String,
+    pub endpoint: String,
+    #[serde(rename = "build")]
+    pub kind: String,
+    #[serde(rename = "quay")]
+    pub zone: String,
+    #[serde(rename = "loaner")]
+    pub spot: bool,
+    pub shift: Shift,
+    pub tally: Tally,
+    pub baton: Baton,
+    #[serde(rename = "warn_s", default)]
+    pub notice_s: Option<f64>,
+    #[serde(default)]
+    pub lots: Vec<LotReport>,
+}
+
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+#[serde(tag = "verb", rename_all = "lowercase")]
+pub enum Order {
+    Run {
+        lot: String,
+        #[serde(rename = "try")]
+        attempt: Attempt,
+    },
+    Stop {
+        lot: String,
+        #[serde(rename = "try")]
+        attempt: Attempt,
+        leeway_s: f64,
+    },
+    Clear {
+        lot: String,
+        #[serde(rename = "try")]
+        attempt: Attempt,
+    },
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ReportAnswer {
+    pub baton: Baton,
+    pub orders: Vec<Order>,
+}
+
+#[derive(Clone, Debug, Serialize)]
+pub struct DirectOrders {
+    pub baton: Baton,
+    pub shift: Shift,
+    pub orders: Vec<Order>,
+}
+
+// ---- cloud
+
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct MachineType {
+    #[serde(rename = "sku")]
+    pub name: String,
+    #[serde(rename = "cores")]
+    pub cpus: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    #[serde(rename = "ram_gb")]
+    pub memory_gb: f64,
+    #[serde(rename = "local_gb", default)]
+    pub cache_gb: f64,
+    #[serde(default = "one")]
+    pub fetch_gb_per_s: f64,
+    pub price: f64,
+    #[serde(rename = "market_price")]
+    pub spot_price: f64,
+    #[serde(rename = "startup_s", default)]
+    pub boot_s: f64,
+    #[serde(rename = "quays", default)]
+    pub zones: Vec<String>,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct MachineTypes {
+    pub builds: Vec<MachineType>,
+}
+
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct RentRequest {
+    pub hire: String,
+    #[serde(rename = "build")]
+    pub kind: String,
+    #[serde(rename = "quay")]
+    pub zone: String,
+    #[serde(rename = "loaner")]
+    pub spot: bool,
+    pub number: u32,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct MachineNames {
+    pub plinths: Vec<String>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum ListPhase {
+    Starting,
+    Running,
+    Failed,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ListedMachine {
+    pub id: String,
+    #[serde(default)]
+    pub endpoint: Option<String>,
+    #[serde(rename = "build")]
+    pub kind: String,
+    #[serde(rename = "quay")]
+    pub zone: String,
+    #[serde(rename = "loaner")]
+    pub spot: bool,
+    pub phase: ListPhase,
+    #[serde(default)]
+    pub age_s: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct MachineList {
+    pub plinths: Vec<ListedMachine>,
+    #[serde(default)]
+    pub has_next: bool,
+}
+
+// ---- state service
+
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct Guard {
+    pub path: String,
+    pub stamp: u64,
+}
+
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Change {
+    Write {
+        write: String,
+        value: Value,
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        tenure: Option<u64>,
+    },
+    Drop {
+        drop: String,
+    },
+}
+
+impl Change {
+    pub fn write(key: impl Into<String>, value: Value) -> Change {
+        Change::Write { write: key.into(), value, tenure: None }
+    }
+    pub fn drop(key: impl Into<String>) -> Change {
+        Change::Drop { drop: key.into() }
+    }
+}
+
+#[derive(Clone, PartialEq, Debug, Default, Serialize, Deserialize)]
+pub struct Txn {
+    pub guards: Vec<Guard>,
+    pub apply: Vec<Change>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Row {
+    pub path: String,
+    pub value: Value,
+    pub stamp: u64,
+    #[serde(default)]
+    pub tenure: Option<u64>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Rows {
+    pub rows: Vec<Row>,
+    #[serde(default)]
+    pub has_next: bool,
+    pub epoch: u64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(untagged)]
+pub enum LogEntry {
+    Write { write: String, value: Value, stamp: u64 },
+    Drop { drop: String, stamp: u64 },
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Log {
+    pub epoch: u64,
+    #[serde(default)]
+    pub log: Vec<LogEntry>,
+}
