Part the planning: each controller runs MISER for its share of the teams

The leader sends the fleet view by prost, merges the parts, checks every placement against its ledger and plans itself for silent controllers. Shares are kept in the state service and move by measured load. The slow model now also gets late, doubled, stale and plainly wrong plans.

--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -10,6 +10,7 @@
 use super::leadership::LEADER_KEY;
 use super::miser;
 use super::rentals::{Market, Rentals, Request};
+use super::shares::{SHARES_KEY, Shares};
 use crate::config::{Settings, Tuning};
 use crate::ids::{Attempt, Baton, JobId, MAX_FENCE, MachineId, Stamp, TaskId, Term};
 use crate::peer::{
@@ -31,10 +32,22 @@
 /// What the edges must do for the leader.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    Orders { ticket: u64, endpoint: String, body: DirectOrdersBody },
-    Commit { ticket: u64, txn: Txn },
+    Orders {
+        ticket: u64,
+        endpoint: String,
+        body: DirectOrdersBody,
+    },
+    Commit {
+        ticket: u64,
+        txn: Txn,
+    },
     Rent(RentRequest),
     Return(Vec<MachineId>),
+    /// Has a peer plan for its share.
+    Plan {
+        node: String,
+        input: PlanInput,
+    },
 }
 
 /// Orders as they go to a worker directly.
@@ -81,6 +94,7 @@
     Fleet { commission: Vec<MachineId>, forget: Vec<MachineId> },
     Bits(Vec<(JobId, FixedBitSet)>),
     Finish(JobId),
+    Shares,
     Tidy,
 }
 
@@ -127,7 +141,10 @@
     round_at: Mono,
     rounds: u64,
     hires: u64,
-    backlog: usize,
+    shares: Shares,
+    shares_dirty: bool,
+    team_names: Vec<String>,
+    open_round: Option<Round>,
     actions: Vec<Action>,
     spot_lives: SpotLives,
 }
@@ -149,12 +166,27 @@
     }
 }
 
+/// A round whose parts are planned by several controllers.
+struct Round {
+    input: PlanInput,
+    jobs: Vec<(JobId, bool)>,
+    machines: Vec<Option<MachineId>>,
+    outputs: Vec<PlanOutput>,
+    /// Peers that haven't answered, with the keys of their jobs.
+    missing: BTreeMap<String, Vec<u32>>,
+    until: Mono,
+}
+
+/// How long a round waits for its parts.
+const PATIENCE: Span = Span(250);
+
 /// Everything kept in the state service, as read by a new leader.
 #[derive(Default)]
 pub struct Stored {
     pub live: Vec<Row>,
     pub bits: Vec<Row>,
     pub fleet: Vec<Row>,
+    pub shares: Option<Value>,
 }
 
 impl Leader {
@@ -175,6 +207,9 @@
             chunk: chunk_tasks(c.state.value_kb),
             list_lag: Span::secs(c.cloud.list_lag_s),
         };
+        let team_names: Vec<String> = c.teams.iter().map(|t| t.name.clone()).collect();
+        let peers = settings.peers.iter().map(|p| p.name.clone());
+        let shares = Shares::new(&settings.name, peers, team_names.len() as u32, now);
         Leader {
             tokens: p.write_rps,
             p,
@@ -206,7 +241,10 @@
             round_at: now,
             rounds: 0,
             hires: 0,
-            backlog: 0,
+            shares,
+            shares_dirty: true,
+            team_names,
+            open_round: None,
             actions: Vec::new(),
         }
     }
@@ -287,6 +325,10 @@
             m.accounted = false;
             self.machines.insert(id, m);
         }
+        if let Some(kept) = stored.shares.and_then(|v| serde_json::from_value(v).ok()) {
+            self.shares.restore(&kept, &self.team_names);
+            self.shares_dirty = false;
+        }
         // Until now reports were answered without the ledger, which renewed workers' leases.
         self.since = now;
         info!("office taken: term={} jobs={} machines={}", self.term, self.jobs.len(), self.machines.len());
@@ -808,7 +850,10 @@
         self.look_after_machines(now);
         self.write(now);
         let due = Span(self.tuning.round_ms as u64);
-        if now - self.round_at >= due && (self.dirty || now - self.round_at >= Span(1_000)) {
+        self.move_shares(now);
+        self.close_round(now);
+        if self.open_round.is_none() && now - self.round_at >= due && (self.dirty || now - self.round_at >= Span(1_000))
+        {
             self.round(now, wall);
         }
         self.flush_orders(now);
@@ -1158,6 +1203,11 @@
             }
             let txn = Txn { guards: vec![self.own_guard()], apply };
             self.commit(Purpose::Bits(which), txn);
+        } else if self.shares_dirty && self.tokens >= self.p.write_rps * 0.7 && self.commits.is_empty() {
+            self.shares_dirty = false;
+            let value = serde_json::json!(self.shares.kept(&self.team_names));
+            let txn = Txn { guards: vec![self.own_guard()], apply: vec![Change::write(SHARES_KEY, value)] };
+            self.commit(Purpose::Shares, txn);
         } else if !self.stray_bits.is_empty() && self.tokens >= self.p.write_rps * 0.7 && self.commits.is_empty() {
             let n = self.stray_bits.len().min(self.p.txn_ops).min(4);
             let apply = self.stray_bits.drain(..n).map(Change::drop).collect();
@@ -1223,21 +1273,89 @@
                     }
                 }
             },
+            Purpose::Shares => self.shares_dirty |= !ok,
             Purpose::Tidy => {}
         }
     }
 
     // ---- rounds
 
+    /// Starts a round: each controller plans for the teams of its share, all on the same view.
     fn round(&mut self, now: Mono, wall: Wall) {
         self.round_at = now;
         self.dirty = false;
         self.rounds += 1;
         let (input, jobs, machines) = self.view(now, wall);
-        let wanted: u32 = input.jobs.iter().map(|j| j.ready).sum();
-        self.backlog = wanted as usize;
-        let out = miser::plan(&input);
-        self.carry_out(now, &input, &out, &jobs, &machines);
+        let mut missing: BTreeMap<String, Vec<u32>> = BTreeMap::new();
+        let mut own = Vec::new();
+        for j in &input.jobs {
+            self.shares.note_load(j.team, j.ready);
+            match self.shares.planner(j.team, now) {
+                Some(peer) => missing.entry(peer.into()).or_default().push(j.key),
+                None => own.push(j.key),
+            }
+        }
+        for (node, keys) in &missing {
+            self.actions.push(Action::Plan { node: node.clone(), input: part(&input, keys) });
+        }
+        let outputs = vec![miser::plan(&part(&input, &own))];
+        let until = now + PATIENCE;
+        self.open_round = Some(Round { input, jobs, machines, outputs, missing, until });
+        self.close_round(now);
+    }
+
+    /// A peer's plan. One of another round, term or version is dropped.
+    pub fn on_plan(&mut self, now: Mono, node: &str, plan: Option<PlanOutput>) {
+        let Some(round) = &mut self.open_round else { return };
+        match plan {
+            Some(p) if (p.version, p.term, p.round) == (VERSION, self.term.0, round.input.round) => {
+                if round.missing.remove(node).is_some() {
+                    round.outputs.push(p);
+                    self.shares.heard(node, now);
+                }
+            }
+            Some(p) => debug!("a plan of {node} is of round {} of term {}", p.round, p.term),
+            None => round.until = now,
+        }
+        self.close_round(now);
+    }
+
+    /// Commits the round once all parts are there, or the leader has planned the missing ones.
+    fn close_round(&mut self, now: Mono) {
+        if self.open_round.as_ref().is_none_or(|r| !r.missing.is_empty() && now < r.until) {
+            return;
+        }
+        let Some(mut round) = self.open_round.take() else { return };
+        for (node, keys) in std::mem::take(&mut round.missing) {
+            debug!("{node} is silent, its share is planned here");
+            self.shares.silent(&node);
+            round.outputs.push(miser::plan(&part(&round.input, &keys)));
+        }
+        let mut out = PlanOutput::default();
+        for o in round.outputs {
+            out.placements.extend(o.placements);
+            out.wishes.extend(o.wishes);
+            out.waiting.extend(o.waiting);
+        }
+        // The parts were planned apart: where they clash, the more urgent job goes first.
+        let urgency = |job: u32| {
+            let j = round.input.jobs.get(job as usize);
+            j.map_or((u32::MAX, true), |j| (j.priority, !j.guaranteed))
+        };
+        out.placements.sort_by_key(|p| urgency(p.job));
+        out.waiting.sort_by_key(|w| urgency(w.job));
+        self.carry_out(now, &round.input, &out, &round.jobs, &round.machines);
+    }
+
+    pub fn peer_answered(&mut self, now: Mono, node: &str) {
+        self.shares.heard(node, now);
+    }
+
+    fn move_shares(&mut self, now: Mono) {
+        for (team, from, to) in self.shares.rebalance(now) {
+            info!("share moved: team={} from={from} to={to}", self.team_names[team as usize]);
+            self.shares_dirty = true;
+        }
     }
 
     /// The fleet and the ready tasks as the planner sees them, with what its keys stand for.
@@ -1489,6 +1607,7 @@
     ) {
         let mut gangs: BTreeMap<u32, Vec<(MachineId, u32)>> = BTreeMap::new();
         for p in &out.placements {
+            // Unsigned keys beyond the view are a peer's mistake, and dropped.
             let (Some((job, reclaimed)), Some(Some(machine))) =
                 (jobs.get(p.job as usize), machines.get(p.machine as usize))
             else {
@@ -1643,7 +1762,7 @@
         let mut claims: BTreeMap<MachineId, Amount> = BTreeMap::new();
         for w in &out.waiting {
             let Some((id, _)) = jobs.get(w.job as usize) else { continue };
-            let view = &input.jobs[w.job as usize];
+            let Some(view) = input.jobs.get(w.job as usize) else { continue };
             if let Some(j) = self.jobs.get_mut(id) {
                 if w.on_spot {
                     let since = *j.spot_wait_since.get_or_insert(now);
@@ -1739,6 +1858,13 @@
     }
 }
 
+/// The part of a round's view that concerns some of its jobs.
+fn part(input: &PlanInput, keys: &[u32]) -> PlanInput {
+    let jobs: Vec<JobView> = keys.iter().filter_map(|k| input.jobs.get(*k as usize)).cloned().collect();
+    let teams = input.teams.iter().filter(|t| jobs.iter().any(|j| j.team == t.team)).cloned().collect();
+    PlanInput { jobs, teams, ..input.clone() }
+}
+
 fn type_view(t: &MachineType) -> TypeView {
     TypeView {
         cpus: t.cpus,
--- a/src/core/miser.rs
+++ b/src/core/miser.rs
@@ -98,7 +98,18 @@
     rank: f64,
 }
 
+/// Whether all that a view refers to is in it; one from a peer may be anything.
+fn sound(input: &PlanInput) -> bool {
+    let kinds = input.types.len() as u32;
+    input.machines.iter().all(|m| m.kind < kinds)
+        && input.offers.iter().all(|o| o.kind < kinds && o.most <= 1_000)
+        && input.jobs.iter().all(|j| j.tasks <= crate::core::jobs::MAX_TASKS && j.ready <= j.tasks)
+}
+
 pub fn plan(input: &PlanInput) -> PlanOutput {
+    if !sound(input) {
+        return PlanOutput::default();
+    }
     let mut p = Planner::new(input);
     let mut out = PlanOutput { version: VERSION, term: input.term, round: input.round, ..Default::default() };
     let mut budget = input.batch;
--- a/src/core/shares.rs
+++ b/src/core/shares.rs
@@ -1,23 +1,182 @@
-//! Which controller plans for which team.
+//! Which controller plans for which team. The leader deals the teams out, moves them by measured
+//! load, and plans itself for controllers that are silent. Shares are kept in the state service.
 
+use crate::time::{Mono, Span};
 use std::collections::BTreeMap;
 
-/// Teams are dealt out to the controllers that answer, by load; the leader plans for the rest.
-#[derive(Clone, Debug, Default, PartialEq)]
+/// Team names and who plans for them.
+pub const SHARES_KEY: &str = "ctl/shares";
+
+/// A controller that hasn't answered for this long gets nothing to plan.
+const SILENT: Span = Span(2_500);
+/// Its teams move to others after this long.
+const GONE: Span = Span(8_000);
+const MOVE_EVERY: Span = Span(10_000);
+
 pub struct Shares {
+    me: String,
+    /// Other controllers and when they last answered.
+    peers: BTreeMap<String, Option<Mono>>,
     owner: BTreeMap<u32, String>,
+    /// Ready tasks planned for a team, averaged over rounds.
+    load: BTreeMap<u32, f64>,
+    moved_at: Mono,
 }
 
 impl Shares {
-    pub fn owner(&self, team: u32) -> Option<&str> {
-        self.owner.get(&team).map(String::as_str)
+    pub fn new(me: &str, peers: impl Iterator<Item = String>, teams: u32, now: Mono) -> Shares {
+        let peers: BTreeMap<String, Option<Mono>> = peers.map(|p| (p, None)).collect();
+        let mut nodes: Vec<String> = peers.keys().cloned().collect();
+        nodes.push(me.into());
+        nodes.sort();
+        let owner = (0..teams).map(|t| (t, nodes[t as usize % nodes.len()].clone())).collect();
+        Shares { me: me.into(), peers, owner, load: BTreeMap::new(), moved_at: now }
+    }
+
+    /// Takes over what an earlier leader has kept; names that no longer exist are ignored.
+    pub fn restore(&mut self, kept: &BTreeMap<String, String>, team_names: &[String]) {
+        for (team, name) in team_names.iter().enumerate() {
+            if let Some(node) = kept.get(name).filter(|n| **n == self.me || self.peers.contains_key(*n)) {
+                self.owner.insert(team as u32, node.clone());
+            }
+        }
+    }
+
+    pub fn kept(&self, team_names: &[String]) -> BTreeMap<String, String> {
+        let name = |t: u32| team_names.get(t as usize).cloned();
+        self.owner.iter().filter_map(|(t, n)| Some((name(*t)?, n.clone()))).collect()
+    }
+
+    pub fn heard(&mut self, node: &str, now: Mono) {
+        if let Some(at) = self.peers.get_mut(node) {
+            *at = Some(now);
+        }
+    }
+
+    /// Let a plan go unanswered: silent from now on, until it is heard again.
+    pub fn silent(&mut self, node: &str) {
+        if let Some(at) = self.peers.get_mut(node) {
+            *at = None;
+        }
+    }
+
+    fn answers(&self, node: &str, now: Mono, within: Span) -> bool {
+        self.peers.get(node).is_some_and(|at| at.is_some_and(|t| now - t <= within))
+    }
+
+    /// The peer to plan for the team; none: the leader plans itself.
+    pub fn planner(&self, team: u32, now: Mono) -> Option<&str> {
+        let node = self.owner.get(&team)?;
+        self.answers(node, now, SILENT).then_some(node.as_str())
+    }
+
+    pub fn note_load(&mut self, team: u32, ready: u32) {
+        let l = self.load.entry(team).or_default();
+        *l += 0.1 * (f64::from(ready) - *l);
+    }
+
+    /// Moves teams away from silent controllers, or one team from the most loaded controller to
+    /// the least loaded. Says what has moved.
+    pub fn rebalance(&mut self, now: Mono) -> Vec<(u32, String, String)> {
+        if now - self.moved_at < MOVE_EVERY {
+            return Vec::new();
+        }
+        self.moved_at = now;
+        let mut loads: BTreeMap<String, f64> = BTreeMap::new();
+        loads.insert(self.me.clone(), 0.0);
+        for p in self.peers.keys().filter(|p| self.answers(p, now, GONE)) {
+            loads.insert(p.clone(), 0.0);
+        }
+        let mut moves = Vec::new();
+        let weight = |load: &BTreeMap<u32, f64>, t: u32| load.get(&t).copied().unwrap_or(0.0) + 0.5;
+        let mut homeless = Vec::new();
+        for (t, n) in &self.owner {
+            match loads.get_mut(n) {
+                Some(l) => *l += weight(&self.load, *t),
+                None => homeless.push((*t, n.clone())),
+            }
+        }
+        let least = |loads: &BTreeMap<String, f64>| {
+            loads.iter().min_by(|a, b| a.1.total_cmp(b.1)).map(|(n, l)| (n.clone(), *l)).unwrap_or_default()
+        };
+        for (t, from) in homeless {
+            let (to, _) = least(&loads);
+            *loads.entry(to.clone()).or_default() += weight(&self.load, t);
+            moves.push((t, from, to));
+        }
+        if moves.is_empty() {
+            let (to, low) = least(&loads);
+            let most = loads.iter().max_by(|a, b| a.1.total_cmp(b.1)).map(|(n, l)| (n.clone(), *l));
+            if let Some((from, high)) = most {
+                // The team that evens out best; a small difference isn't worth a move.
+                let gap = high - low;
+                let fits = |t: &u32| weight(&self.load, *t) < gap;
+                let of = self.owner.iter().filter(|(_, n)| **n == from).map(|(t, _)| *t).filter(fits);
+                let best = of.min_by(|a, b| {
+                    let off = |t: &u32| (weight(&self.load, *t) - gap / 2.0).abs();
+                    off(a).total_cmp(&off(b))
+                });
+                if let Some(t) = best.filter(|_| gap > 1.0 && high > 1.3 * low) {
+                    moves.push((t, from, to));
+                }
+            }
+        }
+        for (t, _, to) in &moves {
+            self.owner.insert(*t, to.clone());
+        }
+        moves
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn shares() -> Shares {
+        Shares::new("a", ["b", "c"].map(String::from).into_iter(), 6, Mono(0))
+    }
+
+    #[test]
+    fn only_controllers_that_answer_plan() {
+        let mut s = shares();
+        assert_eq!(s.planner(1, Mono(100)), None, "never heard of");
+        s.heard("b", Mono(100));
+        assert_eq!(s.planner(0, Mono(200)), None, "the leader's own");
+        assert_eq!(s.planner(1, Mono(200)), Some("b"));
+        assert_eq!(s.planner(1, Mono(2_700)), None);
+        s.heard("b", Mono(3_000));
+        s.silent("b");
+        assert_eq!(s.planner(1, Mono(3_100)), None);
     }
 
-    pub fn give(&mut self, team: u32, node: &str) {
-        self.owner.insert(team, node.into());
+    #[test]
+    fn shares_leave_the_silent_and_follow_the_load() {
+        let mut s = shares();
+        s.heard("b", Mono(9_000));
+        let moves = s.rebalance(Mono(10_000));
+        assert_eq!(moves.len(), 2, "both teams of c");
+        assert!(moves.iter().all(|(_, from, to)| from == "c" && to != "c"));
+        for _ in 0..200 {
+            s.note_load(1, 50);
+            s.note_load(4, 40);
+        }
+        s.heard("b", Mono(20_000));
+        let moves = s.rebalance(Mono(20_500));
+        assert!(moves.len() == 1 && moves[0].1 == "b" && moves[0].2 == "a", "{moves:?}");
+        s.heard("b", Mono(30_500));
+        assert!(s.rebalance(Mono(31_000)).is_empty(), "even enough");
     }
 
-    pub fn teams_of(&self, node: &str) -> Vec<u32> {
-        self.owner.iter().filter(|(_, n)| *n == node).map(|(t, _)| *t).collect()
+    #[test]
+    fn kept_shares_come_back_and_strangers_are_ignored() {
+        let names: Vec<String> = (0..6).map(|i| format!("t{i}")).collect();
+        let mut s = shares();
+        let mut kept = s.kept(&names);
+        kept.insert("t0".into(), "c".into());
+        kept.insert("t1".into(), "gone".into());
+        s.restore(&kept, &names);
+        s.heard("c", Mono(0));
+        s.heard("b", Mono(0));
+        assert_eq!((s.planner(0, Mono(1)), s.planner(1, Mono(1))), (Some("c"), Some("b")));
     }
 }
--- a/src/core/sim.rs
+++ b/src/core/sim.rs
@@ -6,8 +6,10 @@
 use super::jobs::{BITS, LIVE, LiveRecord, OVER, OverRecord, live_key, over_key};
 use super::leader::{Action, CommitResult, Leader, OrdersResult, RentResult, Stored};
 use super::leadership::LEADER_KEY;
+use super::miser;
 use crate::config::{Settings, Tuning, sample_settings};
 use crate::ids::{Attempt, Baton, JobId, Shift, Stamp, Tally, TaskId, Term};
+use crate::peer::PlanOutput;
 use crate::time::{Mono, Span, Wall};
 use crate::wire::{
     Cause, Change, JobPhase, JobSpec, Kind, LotPhase, LotReport, MachineType, Order, Priority, RentRequest, Report,
@@ -59,6 +61,7 @@
     Committed { leader: u64, ticket: u64, result: CommitResult },
     Rented { leader: u64, hire: String, result: RentResult },
     Returned { leader: u64, names: Vec<String>, ok: bool },
+    Plan { leader: u64, node: String, plan: Option<PlanOutput> },
     Watch { leader: u64, key: String, value: Option<(Value, u64)> },
 }
 
@@ -237,7 +240,7 @@
             Term(self.epoch),
             Mono(self.now),
         );
-        let stored = Stored { live: self.rows(LIVE), bits: self.rows(BITS), fleet: self.rows(FLEET) };
+        let stored = Stored { live: self.rows(LIVE), bits: self.rows(BITS), fleet: self.rows(FLEET), shares: None };
         l.load(Mono(self.now), stored);
         self.leader = Some(l);
     }
@@ -264,6 +267,26 @@
                     }
                     self.post(delay, Mail::Commit { leader, ticket, txn });
                 }
+                Action::Plan { node, input } => {
+                    // Peers plan on a view that is old by then, answer late, twice or not at all,
+                    // and at times an answer is of another round, or plain wrong.
+                    let mut plan = (!self.lost()).then(|| miser::plan(&input));
+                    if let Some(p) = &mut plan
+                        && self.faults
+                        && self.chance(0.1)
+                    {
+                        for x in &mut p.placements {
+                            x.machine = self.rng.random_range(0..8);
+                            x.count = self.rng.random_range(0..30);
+                        }
+                        p.round -= u64::from(self.chance(0.2));
+                    }
+                    let delay = self.delay() * 4;
+                    if self.chance(0.1) {
+                        self.post(delay + 100, Mail::Plan { leader, node: node.clone(), plan: plan.clone() });
+                    }
+                    self.post(delay, Mail::Plan { leader, node, plan });
+                }
                 Action::Rent(r) => {
                     let result = if self.lost() { RentResult::Unknown } else { self.rent(&r) };
                     self.post(200, Mail::Rented { leader, hire: r.hire, result });
@@ -681,6 +704,11 @@
                     l.on_returned(now, &ids, ok);
                 }
             }
+            Mail::Plan { leader, node, plan } if leader == current => {
+                if let Some(l) = &mut self.leader {
+                    l.on_plan(now, &node, plan);
+                }
+            }
             Mail::Watch { leader, key, value } if leader == current => {
                 let (Some(l), Some(id)) = (&mut self.leader, key.strip_prefix(LIVE).and_then(JobId::parse)) else {
                     return;
@@ -760,6 +788,11 @@
             self.deliver();
             self.step_workers();
             if let Some(l) = &mut self.leader {
+                if self.now % 1_000 == 0 {
+                    for p in ["plinth-1", "plinth-2"] {
+                        l.peer_answered(Mono(self.now), p);
+                    }
+                }
                 l.tick(Mono(self.now), Wall(self.now));
             }
             self.act();
--- a/src/net/leading.rs
+++ b/src/net/leading.rs
@@ -6,6 +6,7 @@
 use crate::core::fleet::FLEET;
 use crate::core::jobs::{BITS, LIVE};
 use crate::core::leader::{Action, Leader, OrdersResult, Stored};
+use crate::core::shares::SHARES_KEY;
 use crate::ids::{JobId, Stamp, Term};
 use crate::time::Span;
 use crate::wire::{Change, DirectOrders, Guard, LogEntry, MachineType, Report, Txn};
@@ -90,7 +91,8 @@
     let (live, epoch) = node.state.list(&node.http, LIVE).await?;
     let (bits, _) = node.state.list(&node.http, BITS).await?;
     let (fleet, _) = node.state.list(&node.http, FLEET).await?;
-    Ok((Stored { live, bits, fleet }, epoch))
+    let shares = node.state.get(&node.http, SHARES_KEY).await?.map(|r| r.value);
+    Ok((Stored { live, bits, fleet, shares }, epoch))
 }
 
 /// Feeds the ledger something and carries out what follows. Outside the bound of the office
@@ -144,6 +146,11 @@
             }
             feed(&node, |_| ());
         }
+        Action::Plan { node: peer, input } => {
+            let plan = peers::ask_plan(&node, &peer, &input).await;
+            let now = node.now();
+            feed(&node, |l| l.on_plan(now, &peer, plan));
+        }
         Action::Rent(request) => {
             let result = node.cloud.rent(&node.http, node.now(), &request).await;
             let now = node.now();
@@ -246,7 +253,13 @@
             hello.counts = i.leader.as_ref().map(|l| l.counts()).unwrap_or_default();
             i.counts = hello.counts.iter().map(|c| (c.job.clone(), c.clone())).collect();
         }
-        peers::ask_all(node, &hello, Span(800)).await;
+        let answers = peers::ask_all(node, &hello, Span(800)).await;
+        let now = node.now();
+        if let Some(l) = &mut node.lock().leader {
+            for (peer, _) in node.settings.peers.iter().zip(&answers).filter(|(_, a)| a.is_some()) {
+                l.peer_answered(now, &peer.name);
+            }
+        }
         tokio::time::sleep(Span(1_000).std()).await;
     }
     info!("no longer leading: term={term}");
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -1,13 +1,15 @@
 //! Words between controllers.
 
 use super::node::Node;
-use crate::peer::{Hello, HelloAnswer, VERSION};
+use crate::core::miser;
+use crate::peer::{Hello, HelloAnswer, PlanInput, PlanOutput, VERSION};
 use crate::time::Span;
 use hyper::Method;
 use prost::Message;
 use std::sync::Arc;
 
 pub const HELLO: &str = "/peer/hello";
+pub const PLAN: &str = "/peer/plan";
 
 async fn ask(node: &Node, addr: &str, hello: &Hello, limit: Span) -> Option<HelloAnswer> {
     let answer = node.http.call(Method::POST, addr, HELLO, hello.encode_to_vec(), limit).await;
@@ -45,3 +47,17 @@
     let state_ok = !i.leadership.is_refused();
     Some(HelloAnswer { version: VERSION, state_ok, promise_ms: promise.0 }.encode_to_vec())
 }
+
+/// Has a peer plan for its share; none: it didn't.
+pub async fn ask_plan(node: &Node, peer: &str, input: &PlanInput) -> Option<PlanOutput> {
+    let addr = node.settings.peers.iter().find(|p| p.name == peer)?.addr.to_string();
+    let answer = node.http.call(Method::POST, &addr, PLAN, input.encode_to_vec(), Span(400)).await;
+    let Ok((200, body)) = answer else { return None };
+    PlanOutput::decode(body).ok()
+}
+
+/// Plans for a leader. It decides nothing: the leader checks every placement.
+pub fn plan(body: &[u8]) -> Option<Vec<u8>> {
+    let input = PlanInput::decode(body).ok().filter(|i| i.version == VERSION)?;
+    Some(miser::plan(&input).encode_to_vec())
+}
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -23,6 +23,7 @@
     Health,
     Report,
     Hello,
+    Plan,
 }
 
 struct Edge {
@@ -63,14 +64,21 @@
                     None => send(res, 400, json!({"error": "not a report"}).to_string()),
                 }
             }
-            Route::Hello => {
-                let body = req.payload_with_max_size(MAX_PEER_BODY).await;
-                match body.ok().and_then(|b| peers::answer(node, b)) {
+            Route::Hello | Route::Plan => {
+                let body = req.payload_with_max_size(MAX_PEER_BODY).await.ok();
+                let answer = body.and_then(|b| match self.route {
+                    Route::Plan => peers::plan(b),
+                    _ => peers::answer(node, b),
+                });
+                match answer {
                     Some(answer) => {
                         res.status_code(StatusCode::OK);
                         let _ = res.write_body(answer);
                     }
-                    None => send(res, 400, json!({"error": "not a message of this version"}).to_string()),
+                    None => {
+                        log::warn!("a peer's message can't be read or is of another version");
+                        send(res, 400, json!({"error": "not a message of this version"}).to_string());
+                    }
                 }
             }
         }
@@ -133,7 +141,9 @@
 }
 
 pub fn internal(node: &Arc<Node>) -> Router {
-    Router::new().push(Router::with_path("peer/hello").post(edge(node, Route::Hello)))
+    Router::new()
+        .push(Router::with_path(&peers::HELLO[1..]).post(edge(node, Route::Hello)))
+        .push(Router::with_path(&peers::PLAN[1..]).post(edge(node, Route::Plan)))
 }
 
 pub async fn serve(addr: SocketAddr, router: Router) -> Result<(), String> {
