--- a/src/config.rs
+++ b/src/config.rs
@@ -56,8 +56,6 @@
 pub struct Workers {
     pub report_s: f64,
     pub lease_s: f64,
-    pub gang_wait_s: f64,
-    pub gang_peer_s: f64,
     pub cancel_s: f64,
 }
 
@@ -92,8 +90,6 @@
     pub state: StateLimits,
     pub cloud: CloudLimits,
     pub limits: Limits,
-    #[serde(default)]
-    pub skew_ms: f64,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -165,8 +161,8 @@
     }
 
     /// Most seconds until a task of the class should have started, if an aim says so.
-    pub fn start_aim(&self, class: &str) -> Option<f64> {
-        let of = |o: &&Objective| o.kind == "wait" && o.class == class;
+    pub fn start_aim(&self, class: &str, guaranteed: bool) -> Option<f64> {
+        let of = |o: &&Objective| o.kind == "wait" && o.class == class || guaranteed && o.kind == "guarantee";
         self.cluster.objectives.iter().filter(of).map(|o| o.within_s).reduce(f64::min)
     }
 }
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -145,6 +145,7 @@
     shares_dirty: bool,
     team_names: Vec<String>,
     open_round: Option<Round>,
+    reservations: Vec<Reservation>,
     actions: Vec<Action>,
     spot_lives: SpotLives,
 }
@@ -177,6 +178,17 @@
     until: Mono,
 }
 
+/// Room on a machine kept for one task of a job, as work was stopped to make it. Without it, other
+/// work would take the room as soon as it is free, and be stopped again.
+struct Reservation {
+    machine: MachineId,
+    job: JobId,
+    need: Amount,
+    until: Mono,
+}
+
+const RESERVED_FOR: Span = Span(4_000);
+
 /// How long a round waits for its parts.
 const PATIENCE: Span = Span(250);
 
@@ -245,6 +257,7 @@
             shares_dirty: true,
             team_names,
             open_round: None,
+            reservations: Vec::new(),
             actions: Vec::new(),
         }
     }
@@ -851,6 +864,7 @@
         self.write(now);
         let due = Span(self.tuning.round_ms as u64);
         self.move_shares(now);
+        self.use_reservations(now);
         self.close_round(now);
         if self.open_round.is_none() && now - self.round_at >= due && (self.dirty || now - self.round_at >= Span(1_000))
         {
@@ -1390,7 +1404,8 @@
             if usable {
                 cpus_up += t.cpus;
             }
-            let free = m.free(t);
+            let mut free = m.free(t);
+            self.reserved(id).for_each(|r| free.sub(&r.need));
             let age = (now - m.since).as_secs();
             let ready_s = if usable {
                 0.0
@@ -1470,6 +1485,12 @@
             let next = self.images.len() as u32;
             let image = *self.images.entry(j.spec.image.clone()).or_insert(next);
             let reclaimed = j.reclaimed.iter().filter(|i| j.ready.contains(i)).count() as u32;
+            let reserved = self.reservations.iter().filter(|r| r.job == *id).count() as u32;
+            let ready = (j.ready.len() as u32).saturating_sub(reserved);
+            if ready == 0 || (j.spec.kind == Kind::Gang && reserved > 0) {
+                continue;
+            }
+            let reclaimed = reclaimed.min(ready);
             let base = JobView {
                 team: j.team,
                 priority: priority_number(j.spec.priority),
@@ -1521,7 +1542,6 @@
                 may_rent: !j.at_fault() && (j.spec.priority <= Priority::High || drain_s > 8.0),
                 ..Default::default()
             };
-            let ready = j.ready.len() as u32;
             if base.gang || reclaimed == 0 || reclaimed == ready {
                 let new_spot = base.new_spot && reclaimed == 0;
                 jobs.push(JobView { key: job_ids.len() as u32, ready, new_spot, ..base });
@@ -1654,15 +1674,19 @@
 
     /// The leader's own check of one start, whoever planned it.
     fn may_place(&self, now: Mono, job: &JobId, machine: &MachineId, n: f64) -> bool {
+        let mut kept = Amount::default();
+        self.reserved(machine).filter(|r| r.job != *job).for_each(|r| kept.add(&r.need));
         let (Some(j), Some(m)) = (self.jobs.get(job), self.machines.get(machine)) else { return false };
         let t = &self.types[m.kind];
         let s = &j.spec;
         let need = Amount { cpus: s.cpus, gpus: s.gpus, memory_gb: s.memory_gb };
+        let mut free = m.free(t);
+        free.sub(&kept);
         let zone = &self.zones[m.zone as usize];
         let placed = zone_counts(j, &self.machines);
         let here = placed.iter().filter(|z| z.zone == m.zone).map(|z| z.count).sum::<u32>();
         m.usable(now, self.quiet())
-            && m.free(t).holds(&need)
+            && free.holds(&need)
             && jobs::type_allows(s, t)
             && s.zone.as_ref().is_none_or(|z| z == zone)
             && (s.spot || !m.spot)
@@ -1759,7 +1783,6 @@
 
     /// Tasks that found no machine that is up: preemption, and the paper's second fall-back.
     fn heed_waiting(&mut self, now: Mono, input: &PlanInput, out: &PlanOutput, jobs: &[(JobId, bool)]) {
-        let mut claims: BTreeMap<MachineId, Amount> = BTreeMap::new();
         for w in &out.waiting {
             let Some((id, _)) = jobs.get(w.job as usize) else { continue };
             let Some(view) = input.jobs.get(w.job as usize) else { continue };
@@ -1777,18 +1800,71 @@
                     j.spot_wait_since = None;
                 }
             }
-            if view.priority <= priority_number(Priority::High) || view.guaranteed {
-                for _ in 0..w.count.min(64) {
-                    if !self.make_room(now, id, view, &mut claims) {
-                        break;
+            if !(view.priority <= priority_number(Priority::High) || view.guaranteed) {
+                continue;
+            }
+            // Work is only stopped for a job that would start too late otherwise.
+            let aim = self.jobs.get(id).and_then(|j| self.settings.start_aim(&j.spec.class, view.guaranteed));
+            if aim.is_some_and(|aim| w.ready_s > 0.0 && view.age_s + w.ready_s <= aim) {
+                continue;
+            }
+            for n in 0..w.count.min(64) {
+                if !self.make_room(now, id, view) {
+                    if view.gang && n > 0 {
+                        self.reservations.retain(|r| r.job != *id);
+                    }
+                    break;
+                }
+            }
+        }
+    }
+
+    fn reserved(&self, id: &MachineId) -> impl Iterator<Item = &Reservation> {
+        self.reservations.iter().filter(move |r| r.machine == *id)
+    }
+
+    /// Starts what room was kept for, once it is there.
+    fn use_reservations(&mut self, now: Mono) {
+        self.reservations.retain(|r| r.until > now);
+        let mut done: BTreeSet<JobId> = BTreeSet::new();
+        let jobs: BTreeSet<JobId> = self.reservations.iter().map(|r| r.job.clone()).collect();
+        for job in jobs {
+            let Some(j) = self.jobs.get(&job) else {
+                done.insert(job);
+                continue;
+            };
+            let machines: Vec<MachineId> =
+                self.reservations.iter().filter(|r| r.job == job).map(|r| r.machine.clone()).collect();
+            if j.spec.kind == Kind::Gang {
+                let idle = j.gang.is_none() && j.placed.is_empty() && j.ready.len() as u32 == j.spec.tasks;
+                if !idle || machines.len() as u32 != j.spec.tasks {
+                    done.insert(job);
+                } else if machines.iter().all(|m| self.may_place(now, &job, m, f64::from(j.spec.tasks))) {
+                    let parts: Vec<(MachineId, u32)> = machines.into_iter().map(|m| (m, 1)).collect();
+                    self.start_gang(now, &job, &parts);
+                    done.insert(job);
+                }
+                continue;
+            }
+            for machine in machines {
+                let Some(index) = self.jobs.get(&job).and_then(|j| j.ready.first().copied()) else {
+                    done.insert(job.clone());
+                    break;
+                };
+                if self.may_place(now, &job, &machine, 1.0) {
+                    if let Some(at) = self.reservations.iter().position(|r| r.job == job && r.machine == machine) {
+                        self.reservations.remove(at);
                     }
+                    let attempt = self.next_attempt();
+                    self.start(now, &job, index, &machine, attempt);
                 }
             }
         }
+        self.reservations.retain(|r| !done.contains(&r.job));
     }
 
     /// Stops work of lower priority where that makes room for one task. False: nowhere.
-    fn make_room(&mut self, now: Mono, id: &JobId, view: &JobView, claims: &mut BTreeMap<MachineId, Amount>) -> bool {
+    fn make_room(&mut self, now: Mono, id: &JobId, view: &JobView) -> bool {
         let Some(j) = self.jobs.get(id) else { return false };
         let need = Amount { cpus: view.cpus, gpus: view.gpus, memory_gb: view.memory_gb };
         let quiet = self.quiet();
@@ -1796,8 +1872,16 @@
         for (mid, m) in &self.machines {
             let t = &self.types[m.kind];
             let zone_ok = {
-                let here = view.placed.iter().filter(|z| z.zone == m.zone).map(|z| z.count).sum::<u32>();
-                let elsewhere = view.placed.iter().any(|z| z.zone != m.zone && z.count > 0);
+                // Counts what is placed, and what room is being made for.
+                let coming = |zone_is: &dyn Fn(u32) -> bool| {
+                    let of = self.reservations.iter().filter(|r| r.job == *id);
+                    of.filter(|r| self.machines.get(&r.machine).is_some_and(|m| zone_is(m.zone))).count() as u32
+                };
+                let at = |zone_is: &dyn Fn(u32) -> bool| {
+                    view.placed.iter().filter(|z| zone_is(z.zone)).map(|z| z.count).sum::<u32>() + coming(zone_is)
+                };
+                let here = at(&|z| z == m.zone);
+                let elsewhere = at(&|z| z != m.zone) > 0;
                 !(view.spread && here >= view.tasks.div_ceil(2) || view.one_zone && elsewhere)
             };
             if !m.usable(now, quiet)
@@ -1810,9 +1894,7 @@
                 continue;
             }
             let mut free = m.free(t);
-            if let Some(c) = claims.get(mid) {
-                free.sub(c);
-            }
+            self.reserved(mid).for_each(|r| free.sub(&r.need));
             // What is already told to stop will be free soon.
             for s in m.slots.values().filter(|s| !s.exited() && s.stop.is_some()) {
                 free.add(&s.need);
@@ -1853,7 +1935,7 @@
         for k in chosen {
             self.stop_task(&mid, &k);
         }
-        claims.entry(mid).or_default().add(&need);
+        self.reservations.push(Reservation { machine: mid, job: id.clone(), need, until: now + RESERVED_FOR });
         true
     }
 }
