--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -144,6 +144,8 @@
     shares: Shares,
     shares_dirty: bool,
     team_names: Vec<String>,
+    /// For each type the most that a GPU job has asked of it.
+    gpu_needs: Vec<Amount>,
     open_round: Option<Round>,
     reservations: Vec<Reservation>,
     actions: Vec<Action>,
@@ -230,7 +232,6 @@
             tuning,
             term,
             since: now,
-            types,
             zones,
             images: HashMap::new(),
             jobs: BTreeMap::new(),
@@ -256,6 +257,8 @@
             shares,
             shares_dirty: true,
             team_names,
+            gpu_needs: vec![Amount::default(); types.len()],
+            types,
             open_round: None,
             reservations: Vec::new(),
             actions: Vec::new(),
@@ -289,7 +292,10 @@
         for t in types {
             match self.types.iter_mut().find(|o| o.name == t.name) {
                 Some(o) => *o = t,
-                None => self.types.push(t),
+                None => {
+                    self.types.push(t);
+                    self.gpu_needs.push(Amount::default());
+                }
             }
         }
     }
@@ -368,6 +374,13 @@
         let Some(team) = self.settings.cluster.teams.iter().position(|t| t.name == record.spec.team) else {
             return warn!("state: job {id} is of unknown team {}", record.spec.team);
         };
+        let s = &record.spec;
+        if s.gpus > 0.0 {
+            for (t, need) in self.types.iter().zip(&mut self.gpu_needs).filter(|(t, _)| jobs::type_allows(s, t)) {
+                need.cpus = need.cpus.max(s.cpus).min(t.cpus);
+                need.memory_gb = need.memory_gb.max(s.memory_gb).min(t.memory_gb);
+            }
+        }
         self.jobs.insert(id.clone(), Job::new(record, stamp, team as u32));
         self.dirty = true;
     }
@@ -1406,6 +1419,7 @@
             }
             let mut free = m.free(t);
             self.reserved(id).for_each(|r| free.sub(&r.need));
+            let spare = self.spare(m);
             let age = (now - m.since).as_secs();
             let ready_s = if usable {
                 0.0
@@ -1431,6 +1445,8 @@
                     .map(|(i, _)| ImageView { image: *i, ready_s: m.image_ready(*i, now).unwrap_or(0.0) })
                     .collect(),
                 slowness: m.slowness,
+                spare_cpus: spare.cpus,
+                spare_memory_gb: spare.memory_gb,
             });
             machine_ids.push(Some(id.clone()));
         }
@@ -1819,6 +1835,15 @@
         }
     }
 
+    /// What urgent work without GPUs may still take of a GPU machine.
+    fn spare(&self, m: &Machine) -> Amount {
+        let mut spare = Amount::of_type(&self.types[m.kind]);
+        spare.sub(&self.gpu_needs[m.kind]);
+        let fixed = |s: &&Slot| !s.exited() && s.need.gpus <= 0.0 && s.priority <= Priority::High;
+        m.slots.values().filter(fixed).for_each(|s| spare.sub(&s.need));
+        spare
+    }
+
     fn reserved(&self, id: &MachineId) -> impl Iterator<Item = &Reservation> {
         self.reservations.iter().filter(move |r| r.machine == *id)
     }
@@ -1899,6 +1924,9 @@
             for s in m.slots.values().filter(|s| !s.exited() && s.stop.is_some()) {
                 free.add(&s.need);
             }
+            if t.gpus > 0.0 && need.gpus <= 0.0 && !self.spare(m).holds(&Amount { gpus: 0.0, ..need }) {
+                continue;
+            }
             let mut victims: Vec<(&SlotKey, &Slot)> = m
                 .slots
                 .iter()
--- a/src/core/miser.rs
+++ b/src/core/miser.rs
@@ -5,6 +5,8 @@
 use crate::peer::{JobView, Placement, PlanInput, PlanOutput, VERSION, Waiting, Wish, ZoneCount};
 
 const EPS: f64 = 1e-6;
+/// Priorities up to this one (prod, high) are not stopped for GPU jobs.
+const URGENT: u32 = 1;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Room {
@@ -22,6 +24,11 @@
         self.gpus -= j.gpus;
         self.memory_gb -= j.memory_gb;
     }
+    fn give_back(&mut self, j: &JobView) {
+        self.cpus += j.cpus;
+        self.gpus += j.gpus;
+        self.memory_gb += j.memory_gb;
+    }
 }
 
 /// Something a task could be put on: a machine of the view, or one opened in this round.
@@ -32,6 +39,9 @@
     zone: u32,
     spot: bool,
     up: bool,
+    /// It has GPUs: `spare` is the room of urgent work without.
+    gpus: bool,
+    spare: Room,
     room: Room,
     /// For a machine yet to be rented: the offer it comes from, and whether a task wants it.
     offer: Option<usize>,
@@ -40,6 +50,27 @@
     priority: u32,
 }
 
+impl Place {
+    fn fits(&self, j: &JobView) -> bool {
+        self.room.fits(j) && (!self.guards_against(j) || self.spare.fits(j))
+    }
+    fn guards_against(&self, j: &JobView) -> bool {
+        self.gpus && j.gpus <= EPS && j.priority <= URGENT
+    }
+    fn take(&mut self, j: &JobView) {
+        self.room.take(j);
+        if self.guards_against(j) {
+            self.spare.take(j);
+        }
+    }
+    fn give_back(&mut self, j: &JobView) {
+        self.room.give_back(j);
+        if self.guards_against(j) {
+            self.spare.give_back(j);
+        }
+    }
+}
+
 /// What a place would mean for one job, room aside.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Choice {
@@ -180,6 +211,8 @@
                 zone: m.zone,
                 spot: m.spot,
                 up: m.up,
+                gpus: input.types[m.kind as usize].gpus > EPS,
+                spare: Room { cpus: m.spare_cpus, gpus: 0.0, memory_gb: m.spare_memory_gb },
                 room: Room { cpus: m.free_cpus, gpus: m.free_gpus, memory_gb: m.free_memory_gb },
                 offer: None,
                 opened: false,
@@ -207,6 +240,8 @@
             zone: offer.zone,
             spot: offer.spot,
             up: false,
+            gpus: false,
+            spare: Room { cpus: 0.0, gpus: 0.0, memory_gb: 0.0 },
             room: Room { cpus: t.cpus, gpus: t.gpus, memory_gb: t.memory_gb },
             offer: Some(o),
             opened: false,
@@ -262,6 +297,16 @@
         {
             return None;
         }
+        // GPU machines are not rented for work without, while others are to be had for it (ours).
+        let plain = |o: &crate::peer::Offer| {
+            let k = &self.input.types[o.kind as usize];
+            let room = Room { cpus: k.cpus, gpus: k.gpus, memory_gb: k.memory_gb };
+            let allowed = j.types.is_empty() || j.types.contains(&o.kind);
+            k.gpus <= EPS && allowed && room.fits(j) && (j.new_spot || !o.spot)
+        };
+        if pl.offer.is_some() && t.gpus > EPS && j.gpus <= EPS && self.input.offers.iter().any(plain) {
+            return None;
+        }
         let ready_s = m.map_or(t.boot_s, |m| m.ready_s);
         let cached = m.and_then(|m| m.images.iter().find(|x| x.image == j.image));
         let fetch_s = match cached {
@@ -305,7 +350,7 @@
     fn best(&self, a: &Active) -> Option<usize> {
         let open = |i: usize| {
             let pl = &self.places[i];
-            pl.room.fits(a.job) && Self::zone_open(a, pl.zone)
+            pl.fits(a.job) && Self::zone_open(a, pl.zone)
         };
         let mut lo: Option<Choice> = None;
         let mut hi: Option<Choice> = None;
@@ -349,7 +394,7 @@
                 a.choices.push(self.choice(a.job, i));
             }
             let Some(i) = self.best(a) else { break };
-            self.places[i].room.take(a.job);
+            self.places[i].take(a.job);
             bump(&mut a.zones, self.places[i].zone, 1);
             chosen.push(i);
             if let (Some(o), false) = (self.places[i].offer, self.places[i].opened) {
@@ -360,11 +405,7 @@
         if chosen.len() < n as usize {
             // All of a gang or none: room that was taken for the rest is given back.
             for i in chosen {
-                let j = a.job;
-                let room = &mut self.places[i].room;
-                room.cpus += j.cpus;
-                room.gpus += j.gpus;
-                room.memory_gb += j.memory_gb;
+                self.places[i].give_back(a.job);
                 if self.places[i].offer.is_some() && self.places[i].load <= EPS {
                     self.places[i].opened = false;
                 }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -100,6 +100,12 @@
     /// How many times slower than its kin.
     #[prost(double, tag = "12")]
     pub slowness: f64,
+    /// Of the free room, what urgent work without GPUs may take. Such work can't be stopped for
+    /// GPU jobs, so it leaves them their room.
+    #[prost(double, tag = "13")]
+    pub spare_cpus: f64,
+    #[prost(double, tag = "14")]
+    pub spare_memory_gb: f64,
 }
 
 #[derive(Clone, PartialEq, Message)]
