--- a/src/config.rs
+++ b/src/config.rs
@@ -167,6 +167,14 @@
     }
 }
 
+impl Settings {
+    /// The next aim on finishing that a job of this age can still meet.
+    pub fn finish_aim(&self, class: &str, age_s: f64) -> Option<f64> {
+        let of = |o: &&Objective| o.kind == "finished" && o.class == class && o.within_s > age_s;
+        self.cluster.objectives.iter().filter(of).map(|o| o.within_s).reduce(f64::min)
+    }
+}
+
 /// The operators' settings. All are optional; docs/operations.md explains each.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Tuning {
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -1545,6 +1545,10 @@
                     _ => self.times.expect(&j.spec.class, j.spec.estimate_s).max(0.1),
                 },
                 due_s: j.spec.deadline_s.map(|d| d - wall_age(wall, j.submitted)),
+                goal_s: {
+                    let age = wall_age(wall, j.submitted);
+                    j.spec.deadline_s.or_else(|| self.settings.finish_aim(&j.spec.class, age)).map(|d| d - age)
+                },
                 age_s: wall_age(wall, j.submitted),
                 overspent: j.overspent,
                 placed: zone_counts(j, &self.machines),
--- a/src/core/miser.rs
+++ b/src/core/miser.rs
@@ -137,6 +137,15 @@
         && input.jobs.iter().all(|j| j.tasks <= crate::core::jobs::MAX_TASKS && j.ready <= j.tasks)
 }
 
+impl Active<'_> {
+    /// Lowest goes first.
+    fn turn(&self) -> (bool, f64, f64, u32) {
+        let left = self.job.goal_s.unwrap_or(self.due_s);
+        let late = left < self.job.run_s;
+        (late, if late { -self.job.age_s } else { left }, -self.rank, self.job.key)
+    }
+}
+
 pub fn plan(input: &PlanInput) -> PlanOutput {
     if !sound(input) {
         return PlanOutput::default();
@@ -155,10 +164,10 @@
             .filter(|j| (j.priority, !j.guaranteed) == class && j.ready > 0)
             .map(|j| p.activate(j))
             .collect();
-        // Round-robin over the jobs, those of the highest rank first (paper, eq. 1 and lines 7-9).
-        active.sort_by(|a, b| {
-            b.rank.total_cmp(&a.rank).then(b.job.age_s.total_cmp(&a.job.age_s)).then(a.job.key.cmp(&b.job.key))
-        });
+        // Round-robin over the jobs (paper, lines 7-9). The tasks of a job are alike here, so its
+        // top task by rank (eq. 1) is any. Which job begins is open in the paper: the one with the
+        // least time left of those that can still make it, then the late ones by age (ours).
+        active.sort_by(|a, b| a.turn().partial_cmp(&b.turn()).unwrap_or(std::cmp::Ordering::Equal));
         let mut going = true;
         while going {
             going = false;
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -173,6 +173,9 @@
     /// Fits its team's guarantee together with the team's earlier jobs.
     #[prost(bool, tag = "24")]
     pub guaranteed: bool,
+    /// Seconds left to what the users want of it (deadline, or an aim on finishing), or none.
+    #[prost(double, optional, tag = "26")]
+    pub goal_s: Option<f64>,
     /// May cause rentals in this round.
     #[prost(bool, tag = "25")]
     pub may_rent: bool,
