--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -1507,6 +1507,15 @@
                 continue;
             }
             let reclaimed = reclaimed.min(ready);
+            let age = wall_age(wall, j.submitted);
+            let run_s = match j.spec.kind {
+                Kind::Service => self.tuning.service_horizon_s,
+                _ => self.times.expect(&j.spec.class, j.spec.estimate_s).max(0.1),
+            };
+            // An aim on starting that can still be met is a deadline too.
+            let aim = self.settings.start_aim(&j.spec.class, guaranteed.contains(id));
+            let aim = aim.filter(|a| *a > age).map(|a| a - age + run_s);
+            let due_s = j.spec.deadline_s.map(|d| d - age).into_iter().chain(aim).reduce(f64::min);
             let base = JobView {
                 team: j.team,
                 priority: priority_number(j.spec.priority),
@@ -1540,16 +1549,13 @@
                 spread: j.spec.spread,
                 spot: j.spec.spot,
                 new_spot: j.spec.spot && !j.no_new_spot,
-                run_s: match j.spec.kind {
-                    Kind::Service => self.tuning.service_horizon_s,
-                    _ => self.times.expect(&j.spec.class, j.spec.estimate_s).max(0.1),
-                },
-                due_s: j.spec.deadline_s.map(|d| d - wall_age(wall, j.submitted)),
+                run_s,
+                due_s,
                 goal_s: {
-                    let age = wall_age(wall, j.submitted);
-                    j.spec.deadline_s.or_else(|| self.settings.finish_aim(&j.spec.class, age)).map(|d| d - age)
+                    let aim = j.spec.deadline_s.or_else(|| self.settings.finish_aim(&j.spec.class, age));
+                    aim.map(|d| d - age)
                 },
-                age_s: wall_age(wall, j.submitted),
+                age_s: age,
                 overspent: j.overspent,
                 placed: zone_counts(j, &self.machines),
                 avoid: machine_ids
