Hand the office over when it is the leader that workers can't reach

Peers now count machines that report to them in vain, the leader names the silent ones (they are no longer sent back to it) and gives up its office to the peer that hears them.

--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -976,6 +976,14 @@
         }
     }
 
+    /// Machines that should report but don't, and how many should.
+    pub fn silent_machines(&self, now: Mono) -> (Vec<String>, usize) {
+        let limit = self.quiet();
+        let ours = || self.machines.iter().filter(|(_, m)| m.commission == Commission::Yes && !m.doomed);
+        let silent = ours().filter(|(_, m)| now - m.last_report.max(self.since) > limit);
+        (silent.map(|(id, _)| id.to_string()).collect(), ours().count())
+    }
+
     /// A worker that hasn't reported for longer gets no new tasks.
     fn quiet(&self) -> Span {
         self.p.report.times(2.0) + Span(500)
--- a/src/core/leadership.rs
+++ b/src/core/leadership.rs
@@ -14,6 +14,14 @@
 /// Written with the first leader's key and never removed: someone has been in office.
 pub const FOUNDED_KEY: &str = "ctl/founded";
 
+const YIELD: Span = Span(2_000);
+
+/// Whether a leader should hand over to a peer: many of its machines are silent, and about as many
+/// report to the peer in vain, so it is the leader that can't be reached.
+pub fn should_hand_over(silent: usize, strays: u32, machines: usize) -> bool {
+    silent >= 2 && silent * 12 >= machines && strays as usize * 3 >= silent * 2
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LeaderRecord {
     pub node: String,
@@ -34,6 +42,8 @@
     /// How long a promise lasts.
     pub promise: Span,
     promised_until: Mono,
+    /// Another controller is to lead next, so this one holds back until then.
+    yields_until: Mono,
     /// A bid for office was sent and its outcome isn't known.
     bid_open: bool,
     /// Whether the last word of the state service was a refusal or none at all.
@@ -43,7 +53,15 @@
 
 impl Leadership {
     pub fn new(ttl: Span) -> Leadership {
-        Leadership { ttl, promise: ttl, promised_until: Mono(0), bid_open: false, refused: false, office: None }
+        Leadership {
+            ttl,
+            promise: ttl,
+            promised_until: Mono(0),
+            yields_until: Mono(0),
+            bid_open: false,
+            refused: false,
+            office: None,
+        }
     }
 
     pub fn state_answered(&mut self) {
@@ -59,7 +77,14 @@
     /// A process that has just begun may have forgotten a promise, so it waits as long as one
     /// lasts, unless nobody has ever been in office.
     pub fn may_run(&self, now: Mono, founded: bool) -> bool {
-        now >= self.promised_until && (!founded || now >= Mono(0) + self.promise.stretched())
+        now >= self.promised_until
+            && now >= self.yields_until
+            && (!founded || now >= Mono(0) + self.promise.stretched())
+    }
+
+    /// Only a matter of manners: whoever bids first leads.
+    pub fn yield_office(&mut self, now: Mono) {
+        self.yields_until = now + YIELD;
     }
 
     pub fn bid_sent(&mut self) {
@@ -132,6 +157,15 @@
         assert_eq!(l.acting(Mono(12_000)), None);
     }
 
+    #[test]
+    fn a_leader_that_workers_cannot_reach_hands_over() {
+        assert!(should_hand_over(10, 10, 10), "cut off from all workers");
+        assert!(should_hand_over(4, 3, 12), "cut off from a zone");
+        assert!(!should_hand_over(1, 1, 12), "one machine may well be dead");
+        assert!(!should_hand_over(4, 0, 12), "silent to everyone: dead, or cut off from all");
+        assert!(!should_hand_over(2, 2, 30), "not worth a change");
+    }
+
     #[test]
     fn a_promise_needs_a_refusal_and_binds() {
         let mut p = Leadership::new(Span(4_000));
--- a/src/net/election.rs
+++ b/src/net/election.rs
@@ -147,6 +147,11 @@
                 hold_on(node, office.term).await;
             }
         }
+        let heir = node.lock().heir.take();
+        if let Some(heir) = heir {
+            hand_over(node, office, heir).await;
+            break;
+        }
         let now = node.now();
         let acts = node.lock().leadership.acting(now).is_some();
         if acts != acting {
@@ -165,6 +170,24 @@
     work.abort();
 }
 
+/// Stops acting, tells the peers who is to come, and ends the lease.
+async fn hand_over(node: &Arc<Node>, office: Office, heir: String) {
+    {
+        let now = node.now();
+        let mut i = node.lock();
+        i.leadership.lost_office();
+        i.leadership.yield_office(now);
+        i.leader = None;
+        i.leader_name = None;
+    }
+    let mut hello = peers::hello(node);
+    hello.heir = heir;
+    peers::ask_all(node, &hello, Span(300)).await;
+    // Unanswered, the lease ends by itself.
+    let ended = node.state.end(&node.http, office.hold).await;
+    node.heard_state(&ended);
+}
+
 fn renewed_late(node: &Node, asked_at: crate::time::Mono) -> bool {
     node.now() - asked_at > Span(1_000)
 }
--- a/src/net/leading.rs
+++ b/src/net/leading.rs
@@ -6,8 +6,10 @@
 use crate::core::fleet::FLEET;
 use crate::core::jobs::{BITS, LIVE};
 use crate::core::leader::{Action, Leader, OrdersResult, Stored};
+use crate::core::leadership::should_hand_over;
 use crate::core::shares::SHARES_KEY;
 use crate::ids::{JobId, Stamp, Term};
+use crate::peer::HelloAnswer;
 use crate::time::Span;
 use crate::wire::{Change, DirectOrders, Guard, LogEntry, MachineType, Report, Txn};
 use hyper::Method;
@@ -244,23 +246,48 @@
 
 /// Tells the peers how many tasks of each job run, for polls that reach them.
 async fn tell_peers(node: &Arc<Node>, term: Term) {
+    let mut suspicion = 0;
     while in_office(node, term) {
         let mut hello = peers::hello(node);
         hello.leading = true;
         hello.term = term.0;
         {
             let mut i = node.lock();
-            hello.counts = i.leader.as_ref().map(|l| l.counts()).unwrap_or_default();
+            let now = node.now();
+            if let Some(l) = &i.leader {
+                hello.counts = l.counts();
+                hello.silent = l.silent_machines(now).0;
+            }
             i.counts = hello.counts.iter().map(|c| (c.job.clone(), c.clone())).collect();
         }
         let answers = peers::ask_all(node, &hello, Span(800)).await;
-        let now = node.now();
-        if let Some(l) = &mut node.lock().leader {
-            for (peer, _) in node.settings.peers.iter().zip(&answers).filter(|(_, a)| a.is_some()) {
-                l.peer_answered(now, &peer.name);
-            }
-        }
+        suspicion = judge(node, &answers, suspicion);
         tokio::time::sleep(Span(1_000).std()).await;
     }
     info!("no longer leading: term={term}");
 }
+
+/// Takes in what the peers have said, and names an heir if it is this controller that the workers
+/// can't reach. Once may be chance, as workers that have just lost their leader stray for a moment:
+/// returns how often in a row it looked so.
+fn judge(node: &Node, answers: &[Option<HelloAnswer>], before: u32) -> u32 {
+    let now = node.now();
+    let mut inner = node.lock();
+    let Some(l) = &mut inner.leader else { return 0 };
+    let (silent, all) = l.silent_machines(now);
+    let silent = silent.len();
+    let mut heir = None;
+    for (peer, a) in node.settings.peers.iter().zip(answers) {
+        let Some(a) = a else { continue };
+        l.peer_answered(now, &peer.name);
+        if a.state_ok && should_hand_over(silent, a.strays, all) {
+            heir = Some(peer.name.clone());
+        }
+    }
+    let Some(name) = heir else { return 0 };
+    if before >= 1 || silent * 2 >= all {
+        warn!("handing over: silent={silent} machines={all} heir={name}");
+        inner.heir = Some(name);
+    }
+    before + 1
+}
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -9,9 +9,9 @@
 use crate::core::leadership::Leadership;
 use crate::ids::JobId;
 use crate::peer::JobCount;
-use crate::time::{Mono, Wall};
+use crate::time::{Mono, Span, Wall};
 use crate::wire::MachineType;
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
@@ -39,6 +39,29 @@
     pub user_requests: usize,
     pub refused_since: Option<Mono>,
     pub peer_has_state: bool,
+    /// Machines that have reported here while another led, and when.
+    pub strays: HashMap<String, Mono>,
+    /// Machines that the leader has said it doesn't hear from.
+    pub silent: HashSet<String>,
+    /// The peer that this controller's office should go to.
+    pub heir: Option<String>,
+}
+
+const STRAY_FOR: Span = Span(4_000);
+const MAX_STRAYS: usize = 4_096;
+
+impl Inner {
+    pub fn note_stray(&mut self, machine: &str, now: Mono) {
+        if self.strays.len() >= MAX_STRAYS {
+            self.strays.clear();
+        }
+        self.strays.insert(machine.into(), now);
+    }
+
+    pub fn count_strays(&mut self, now: Mono) -> u32 {
+        self.strays.retain(|_, t| now - *t <= STRAY_FOR);
+        self.strays.len() as u32
+    }
 }
 
 /// Jobs known to be over. What isn't here is read from the state service.
@@ -79,6 +102,9 @@
             user_requests: 0,
             refused_since: None,
             peer_has_state: false,
+            strays: HashMap::new(),
+            silent: HashSet::new(),
+            heir: None,
         };
         Arc::new(Node {
             settings,
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -41,11 +41,16 @@
     let now = node.now();
     let mut i = node.lock();
     if hello.leading && !hello.hold_on {
+        i.silent = hello.silent.into_iter().collect();
         i.counts = hello.counts.into_iter().map(|c| (c.job.clone(), c)).collect();
     }
+    if !hello.heir.is_empty() && hello.heir != node.settings.name {
+        i.leadership.yield_office(now);
+    }
     let promise = if hello.hold_on { i.leadership.promise_to(now) } else { Span(0) };
     let state_ok = !i.leadership.is_refused();
-    Some(HelloAnswer { version: VERSION, state_ok, promise_ms: promise.0 }.encode_to_vec())
+    let strays = i.count_strays(now);
+    Some(HelloAnswer { version: VERSION, state_ok, promise_ms: promise.0, strays }.encode_to_vec())
 }
 
 /// Has a peer plan for its share; none: it didn't.
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -90,8 +90,14 @@
         let node = &self.node;
         let now = node.now();
         let (term, loaded, steward) = {
-            let i = node.lock();
-            (i.leadership.acting(now), i.leader.is_some(), i.leader_name.clone())
+            let mut i = node.lock();
+            let term = i.leadership.acting(now);
+            if term.is_none() {
+                i.note_stray(&r.machine, now);
+            }
+            // A worker that the leader doesn't hear would only wait there in vain.
+            let steward = if i.silent.contains(&r.machine) { None } else { i.leader_name.clone() };
+            (term, i.leader.is_some(), steward)
         };
         if let Some(term) = term {
             let answer = if loaded {
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -23,6 +23,12 @@
     pub counts: Vec<JobCount>,
     #[prost(bool, tag = "6")]
     pub leading: bool,
+    /// The sender gives up its office in favour of this controller; others hold back a while.
+    #[prost(string, tag = "7")]
+    pub heir: String,
+    /// Machines that the leader doesn't hear from: no use sending them to it.
+    #[prost(string, repeated, tag = "8")]
+    pub silent: Vec<String>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -44,6 +50,9 @@
     /// For this long the answering controller will not try to lead; 0 is a no.
     #[prost(uint64, tag = "3")]
     pub promise_ms: u64,
+    /// Machines that have lately tried to report here, though another leads.
+    #[prost(uint32, tag = "4")]
+    pub strays: u32,
 }
 
 #[derive(Clone, PartialEq, Message)]
