Keep services off GPU machines and move replicas together

Services no longer choose GPU machines (preemption may still put them there), and while nothing waits a replica moves from a machine that does nothing else to one busy anyway that holds its image.

--- a/src/config.rs
+++ b/src/config.rs
@@ -187,6 +187,8 @@
     pub spot_window_s: f64,
     /// Seconds after which an idle machine goes back.
     pub idle_s: f64,
+    /// A GPU machine may be idle for this many times as long.
+    pub gpu_idle_factor: f64,
     /// Stands in for the run time of services in costs.
     pub service_horizon_s: f64,
     /// Tasks placed in a round: at rest, and at the most.
@@ -206,6 +208,7 @@
             spot_sigma: 1.0,
             spot_window_s: 10.0,
             idle_s: 45.0,
+            gpu_idle_factor: 2.0,
             service_horizon_s: 600.0,
             batch_min: 64.0,
             batch_max: 1024.0,
@@ -224,6 +227,7 @@
             "spot-sigma" => (&mut self.spot_sigma, 0.01, 10.0),
             "spot-window-s" => (&mut self.spot_window_s, 0.0, 3600.0),
             "idle-s" => (&mut self.idle_s, 0.0, 86_400.0),
+            "gpu-idle-factor" => (&mut self.gpu_idle_factor, 0.1, 1000.0),
             "service-horizon-s" => (&mut self.service_horizon_s, 1.0, 1e7),
             "batch-min" => (&mut self.batch_min, 1.0, 100_000.0),
             "batch-max" => (&mut self.batch_max, 1.0, 100_000.0),
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -148,6 +148,7 @@
     gpu_needs: Vec<Amount>,
     open_round: Option<Round>,
     reservations: Vec<Reservation>,
+    move_at: Mono,
     actions: Vec<Action>,
     spot_lives: SpotLives,
 }
@@ -261,6 +262,7 @@
             types,
             open_round: None,
             reservations: Vec::new(),
+            move_at: now,
             actions: Vec::new(),
         }
     }
@@ -878,6 +880,7 @@
         let due = Span(self.tuning.round_ms as u64);
         self.move_shares(now);
         self.use_reservations(now);
+        self.consolidate(now);
         self.close_round(now);
         if self.open_round.is_none() && now - self.round_at >= due && (self.dirty || now - self.round_at >= Span(1_000))
         {
@@ -931,6 +934,7 @@
         let mut idle: Vec<MachineId> = Vec::new();
         for (id, m) in &mut self.machines {
             let busy = m.busy();
+            let t_gpus = self.types[m.kind].gpus > 0.0;
             if !m.doomed {
                 let t = &self.types[m.kind];
                 let boot = Span::secs((t.boot_s * 5.0).max(60.0)) + self.p.list_lag;
@@ -950,7 +954,10 @@
                 m.idle_since = None;
             } else if m.up && !m.doomed {
                 let since = *m.idle_since.get_or_insert(now);
-                if now - since > Span::secs(self.tuning.idle_s) && m.outbox.is_empty() && m.in_flight.is_none() {
+                // GPU machines boot slowly and are few, so they stay longer.
+                let factor = if t_gpus { self.tuning.gpu_idle_factor } else { 1.0 };
+                if now - since > Span::secs(self.tuning.idle_s * factor) && m.outbox.is_empty() && m.in_flight.is_none()
+                {
                     idle.push(id.clone());
                 }
             }
@@ -1563,6 +1570,7 @@
                     let aim = j.spec.deadline_s.or_else(|| self.settings.finish_aim(&j.spec.class, age));
                     aim.map(|d| d - age)
                 },
+                service: j.spec.kind == Kind::Service,
                 age_s: age,
                 overspent: j.overspent,
                 placed: zone_counts(j, &self.machines),
@@ -1866,6 +1874,67 @@
         self.reservations.iter().filter(move |r| r.machine == *id)
     }
 
+    /// Moves replicas off machines that do nothing else, onto machines that are busy anyway, so
+    /// that the former can go back. One at a time, and only while nothing waits.
+    fn consolidate(&mut self, now: Mono) {
+        if now < self.move_at || self.jobs.values().any(|j| !j.ready.is_empty()) || !self.reservations.is_empty() {
+            return;
+        }
+        self.move_at = now + Span(1_000);
+        let quiet = self.quiet();
+        let share = |m: &Machine| {
+            let t = &self.types[m.kind];
+            let u = m.used();
+            (u.cpus / t.cpus.max(0.1)).max(u.memory_gb / t.memory_gb.max(0.1))
+        };
+        let is_service = |k: &SlotKey| self.jobs.get(&k.0.job).is_some_and(|j| j.spec.kind == Kind::Service);
+        let waste = |m: &Machine| self.types[m.kind].price * (1.0 - share(m));
+        let mut sources: Vec<(&MachineId, &Machine)> = self
+            .machines
+            .iter()
+            .filter(|(_, m)| m.usable(now, quiet) && m.in_flight.is_none() && m.busy())
+            .filter(|(_, m)| m.slots.iter().all(|(k, s)| !s.exited() && s.stop.is_none() && is_service(k)))
+            .filter(|(_, m)| share(m) < 0.5)
+            .collect();
+        sources.sort_by(|a, b| waste(b.1).total_cmp(&waste(a.1)).then(a.0.cmp(b.0)));
+        let mut found = None;
+        'search: for (from, source) in sources {
+            for (key, slot) in &source.slots {
+                let Some(job) = self.jobs.get(&key.0.job) else { continue };
+                let mut zones = zone_counts(job, &self.machines);
+                zones.iter_mut().filter(|z| z.zone == source.zone).for_each(|z| z.count -= 1);
+                let fits = |id: &MachineId, m: &Machine| {
+                    let t = &self.types[m.kind];
+                    let here = zones.iter().filter(|z| z.zone == m.zone).map(|z| z.count).sum::<u32>();
+                    let elsewhere = zones.iter().any(|z| z.zone != m.zone && z.count > 0);
+                    id != from
+                        && m.usable(now, quiet)
+                        && m.busy()
+                        && t.gpus <= 0.0
+                        && (!m.spot || job.spec.spot)
+                        && (share(m) > share(source) || self.types[source.kind].gpus > 0.0)
+                        && m.image_ready(slot.image, now) == Some(0.0)
+                        && m.free(t).holds(&slot.need)
+                        && jobs::type_allows(&job.spec, t)
+                        && job.spec.zone.as_ref().is_none_or(|z| *z == self.zones[m.zone as usize])
+                        && !(job.spec.spread && here >= job.spec.tasks.div_ceil(2))
+                        && !(job.spec.one_zone && elsewhere)
+                };
+                let to =
+                    self.machines.iter().filter(|(id, m)| fits(id, m)).max_by(|a, b| share(a.1).total_cmp(&share(b.1)));
+                if let Some((to, _)) = to {
+                    found = Some((from.clone(), key.clone(), to.clone(), slot.need));
+                    break 'search;
+                }
+            }
+        }
+        let Some((from, key, to, need)) = found else { return };
+        info!("moving {} from {from} to {to}", key.0);
+        let job = key.0.job.clone();
+        self.stop_task(&from, &key);
+        self.reservations.push(Reservation { machine: to, job, need, until: now + RESERVED_FOR });
+    }
+
     /// Starts what room was kept for, once it is there.
     fn use_reservations(&mut self, now: Mono) {
         self.reservations.retain(|r| r.until > now);
@@ -1970,6 +2039,9 @@
             if m.image_ready(view.image, now).is_none() {
                 lost += 20.0 * view.image_gb / t.fetch_gb_per_s.max(0.01);
             }
+            if view.service && t.gpus > 0.0 && need.gpus <= 0.0 {
+                lost += 1e6;
+            }
             if best.as_ref().is_none_or(|(b, _, _)| lost < *b) {
                 best = Some((lost, mid.clone(), chosen));
             }
--- a/src/core/miser.rs
+++ b/src/core/miser.rs
@@ -316,6 +316,10 @@
         if pl.offer.is_some() && t.gpus > EPS && j.gpus <= EPS && self.input.offers.iter().any(plain) {
             return None;
         }
+        // A service would keep a GPU machine up for good (ours); preemption may still put it there.
+        if j.service && t.gpus > EPS && j.gpus <= EPS && j.types.is_empty() {
+            return None;
+        }
         let ready_s = m.map_or(t.boot_s, |m| m.ready_s);
         let cached = m.and_then(|m| m.images.iter().find(|x| x.image == j.image));
         let fetch_s = match cached {
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -182,6 +182,9 @@
     /// Fits its team's guarantee together with the team's earlier jobs.
     #[prost(bool, tag = "24")]
     pub guaranteed: bool,
+    /// Its tasks run until they are cancelled.
+    #[prost(bool, tag = "27")]
+    pub service: bool,
     /// Seconds left to what the users want of it (deadline, or an aim on finishing), or none.
     #[prost(double, optional, tag = "26")]
     pub goal_s: Option<f64>,
