--- a/src/config.rs
+++ b/src/config.rs
@@ -207,7 +207,7 @@
             spot_median_s: 5400.0,
             spot_sigma: 1.0,
             spot_window_s: 10.0,
-            idle_s: 45.0,
+            idle_s: 20.0,
             gpu_idle_factor: 2.0,
             service_horizon_s: 600.0,
             batch_min: 64.0,
