--- /dev/null
+++ b/src/net/loopback.rs
@@ -0,0 +1,265 @@
+//! One controller on loopback against stand-ins of the state service, the cloud and a worker.
+
+use super::http::Http;
+use super::node::Node;
+use super::{election, leading, server};
+use crate::config::{Tuning, sample_settings};
+use crate::time::Span;
+use crate::wire::{Change, Order, Txn};
+use hyper::Method;
+use salvo::prelude::*;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+#[derive(Default)]
+struct World {
+    store: BTreeMap<String, (Value, u64)>,
+    epoch: u64,
+    /// The state service refuses everything.
+    down: bool,
+    worker: String,
+    tally: u64,
+    baton: u64,
+    lots: BTreeMap<String, Value>,
+    orders: Vec<Order>,
+}
+
+impl World {
+    fn commit(&mut self, txn: &Txn) -> (u16, Value) {
+        let stamp = |w: &World, k: &str| w.store.get(k).map_or(0, |v| v.1);
+        let failed: Vec<&String> =
+            txn.guards.iter().filter(|g| stamp(self, &g.path) != g.stamp).map(|g| &g.path).collect();
+        if !failed.is_empty() {
+            return (409, json!({"failed": failed, "epoch": self.epoch}));
+        }
+        self.epoch += 1;
+        for c in &txn.apply {
+            match c {
+                Change::Write { write, value, .. } => {
+                    self.store.insert(write.clone(), (value.clone(), self.epoch));
+                }
+                Change::Drop { drop } => {
+                    self.store.remove(drop);
+                }
+            }
+        }
+        (200, json!({"epoch": self.epoch}))
+    }
+
+    fn report(&mut self) -> Value {
+        self.tally += 1;
+        json!({"plinth": "m-000001", "endpoint": self.worker, "build": "g8", "quay": "a", "loaner": false,
+            "shift": 1, "tally": self.tally, "baton": self.baton, "warn_s": null,
+            "lots": self.lots.values().collect::<Vec<_>>()})
+    }
+
+    fn state(&mut self, method: &str, path: &str, query: &str, body: &[u8]) -> (u16, Value) {
+        if self.down {
+            return (503, json!({"error": "trouble"}));
+        }
+        let row = |k: &String, v: &(Value, u64)| json!({"path": k, "value": v.0, "stamp": v.1});
+        match (method, path) {
+            ("POST", "commit") => self.commit(&serde_json::from_slice(body).unwrap()),
+            ("POST", "holds") => (200, json!({"tenure": 7})),
+            (_, p) if p.starts_with("holds/") => (200, json!({})),
+            ("GET", "store") => {
+                let prefix = query.strip_prefix("prefix=").and_then(|q| q.split('&').next()).unwrap_or_default();
+                let rows: Vec<Value> =
+                    self.store.iter().filter(|(k, _)| k.starts_with(prefix)).map(|(k, v)| row(k, v)).collect();
+                (200, json!({"rows": rows, "has_next": false, "epoch": self.epoch}))
+            }
+            ("GET", p) => match p.strip_prefix("store/").and_then(|k| self.store.get_key_value(k)) {
+                Some((k, v)) => (200, row(k, v)),
+                None => (404, json!({"epoch": self.epoch})),
+            },
+            _ => (400, json!({})),
+        }
+    }
+}
+
+#[derive(Clone, Copy)]
+enum Part {
+    State,
+    Cloud,
+    Worker,
+}
+
+struct StandIn(Arc<Mutex<World>>, Part);
+
+#[salvo::handler]
+impl StandIn {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
+        let body = req.payload().await.map(|b| b.to_vec()).unwrap_or_default();
+        let path = req.uri().path().trim_start_matches('/').to_string();
+        let query = req.uri().query().unwrap_or_default().to_string();
+        if path == "follow" {
+            // Nothing changes by itself here.
+            tokio::time::sleep(Span(300).std()).await;
+        }
+        let (status, value) = {
+            let mut w = self.0.lock().unwrap();
+            match self.1 {
+                Part::State if path == "follow" => (200, json!({"epoch": w.epoch, "log": []})),
+                Part::State => w.state(req.method().as_str(), &path, &query, &body),
+                Part::Cloud if path == "machine_types" => (
+                    200,
+                    json!({"builds": [{"sku": "g8", "cores": 16, "gpus": 0, "ram_gb": 64, "local_gb": 50,
+                    "fetch_gb_per_s": 1.0, "price": 1.0, "market_price": 0.5, "startup_s": 5, "quays": ["a"]}]}),
+                ),
+                Part::Cloud if path == "machines" && req.method() == Method::GET => {
+                    (200, json!({"plinths": [], "has_next": false}))
+                }
+                Part::Cloud => (503, json!({"error": "no capacity"})),
+                Part::Worker => {
+                    let v: Value = serde_json::from_slice(&body).unwrap();
+                    w.baton = w.baton.max(v["baton"].as_u64().unwrap());
+                    for o in serde_json::from_value::<Vec<Order>>(v["orders"].clone()).unwrap() {
+                        if let Order::Run { lot, attempt } = &o {
+                            let entry = json!({"lot": lot, "try": attempt, "phase": "running"});
+                            w.lots.insert(lot.clone(), entry);
+                        }
+                        w.orders.push(o);
+                    }
+                    (200, w.report())
+                }
+            }
+        };
+        res.status_code(StatusCode::from_u16(status).unwrap());
+        res.render(Text::Json(value.to_string()));
+    }
+}
+
+fn free_addr() -> SocketAddr {
+    std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).unwrap()
+}
+
+fn stand_in(world: &Arc<Mutex<World>>, part: Part) -> SocketAddr {
+    let addr = free_addr();
+    let router = Router::with_path("{**rest}").goal(StandIn(world.clone(), part));
+    tokio::spawn(server::serve(addr, router));
+    addr
+}
+
+struct Client {
+    http: Http,
+    addr: String,
+}
+
+impl Client {
+    async fn call(&self, method: Method, path: &str, body: Value) -> (u16, Value) {
+        let (status, body) =
+            self.http.call(method, &self.addr, path, body.to_string().into(), Span(3_000)).await.unwrap();
+        (status, serde_json::from_slice(&body).unwrap_or_default())
+    }
+    async fn post(&self, path: &str, body: Value) -> (u16, Value) {
+        self.call(Method::POST, path, body).await
+    }
+    async fn get(&self, path: &str) -> (u16, Value) {
+        self.call(Method::GET, path, json!({})).await
+    }
+}
+
+fn job(id: &str, tasks: u32) -> Value {
+    json!({"id": id, "berth": "feed", "crew": "team-b", "shape": "batch", "rank": "normal", "lots": tasks,
+        "cores": 2.0, "gpus": 0.0, "ram_gb": 2.0, "cast": "img", "pull_gb": 1.0, "same_place": false,
+        "apart": false, "loaner": true, "expect_s": 5.0, "mark_s": 0.0, "stow_s": 0.0})
+}
+
+/// Waits until something holds; a stuck controller fails the test instead of hanging it.
+async fn until(mut f: impl AsyncFnMut() -> bool) {
+    for _ in 0..200 {
+        if f().await {
+            return;
+        }
+        tokio::time::sleep(Span(50).std()).await;
+    }
+    panic!("it didn't happen within 10 s");
+}
+
+#[tokio::test]
+async fn a_controller_serves_users_and_a_worker() {
+    let world = Arc::new(Mutex::new(World::default()));
+    let mut settings = sample_settings();
+    settings.peers.clear();
+    settings.listen = free_addr();
+    settings.peer_listen = free_addr();
+    settings.services.state = stand_in(&world, Part::State);
+    settings.services.cloud = stand_in(&world, Part::Cloud);
+    world.lock().unwrap().worker = stand_in(&world, Part::Worker).to_string();
+    let c = Client { http: Http::new(), addr: settings.listen.to_string() };
+    let node = Node::new(settings, Tuning::default());
+    tokio::spawn(server::serve(node.settings.listen, server::public(&node)));
+    tokio::time::sleep(Span(200).std()).await;
+
+    // Before the machine types are known nothing can be decided, and that is said at once.
+    assert_eq!(c.get("/healthz").await.0, 503);
+    assert_eq!(c.post("/api/jobs", job("req-000001", 2)).await.0, 503);
+    tokio::spawn(leading::learn_types(node.clone()));
+    tokio::spawn(election::run(node.clone()));
+    until(async || c.get("/healthz").await.0 == 200).await;
+
+    // Submissions, repeats and refusals.
+    assert_eq!(c.post("/api/jobs", job("req-000001", 2)).await, (201, json!({"id": "req-000001", "phase": "queued"})));
+    assert_eq!(c.post("/api/jobs", job("req-000001", 2)).await.0, 200);
+    let mut bad = job("req-000001", 0);
+    assert_eq!(c.post("/api/jobs", bad.clone()).await.0, 200, "a known id answers whatever else it says");
+    bad["id"] = json!("req-000009");
+    assert_eq!(c.post("/api/jobs", bad).await.0, 400);
+    let mut large = job("req-000009", 1);
+    large["cast"] = json!("x".repeat(70_000));
+    assert_eq!(c.post("/api/jobs", large).await.0, 400);
+    let mut stranger = job("req-000009", 1);
+    stranger["crew"] = json!("nobody");
+    assert_eq!(c.post("/api/jobs", stranger).await.0, 422);
+    assert_eq!(c.get("/api/jobs/req-000009").await.0, 404);
+    assert_eq!(c.get("/api/jobs/nonsense").await.0, 404);
+    assert_eq!(c.post("/api/jobs/req-000009/withdraw", json!({})).await.0, 404);
+
+    // A worker reports, is commissioned, gets its orders, and its tasks end.
+    assert_eq!(c.post("/v1/report", json!({"what": "is this"})).await.0, 400);
+    let report = async || {
+        let r = world.lock().unwrap().report();
+        c.post("/v1/report", r).await
+    };
+    until(async || {
+        let (status, answer) = report().await;
+        let mut w = world.lock().unwrap();
+        w.baton = w.baton.max(answer["baton"].as_u64().unwrap_or(0));
+        status == 200 && w.lots.len() == 2
+    })
+    .await;
+    assert!(world.lock().unwrap().store.contains_key("fleet/m-000001"), "commissioned before its first order");
+    until(async || c.get("/api/jobs/req-000001").await.1["phase"] == "running").await;
+    for lot in world.lock().unwrap().lots.values_mut() {
+        lot["phase"] = json!("exited");
+        lot["cause"] = json!("done");
+    }
+    until(async || {
+        report().await;
+        c.get("/api/jobs/req-000001").await.1["phase"] == "done"
+    })
+    .await;
+    assert_eq!(c.post("/api/jobs/req-000001/withdraw", json!({})).await.1["phase"], "done");
+
+    // Cancelled stays cancelled, also for a repeated submission.
+    assert_eq!(c.post("/api/jobs", job("req-000002", 1)).await.0, 201);
+    assert_eq!(c.post("/api/jobs/req-000002/withdraw", json!({})).await.1["phase"], "aborted");
+    assert_eq!(c.post("/api/jobs/req-000002/withdraw", json!({})).await.1["phase"], "aborted");
+    let again = c.post("/api/jobs", job("req-000002", 1)).await;
+    assert_eq!((again.0, again.1["phase"].as_str()), (200, Some("aborted")));
+
+    // A record that can't be read is neither overwritten nor denied.
+    world.lock().unwrap().store.insert("live/req-000003".into(), (json!("garbage"), 1));
+    assert_eq!(c.post("/api/jobs/req-000003/withdraw", json!({})).await.0, 503);
+    assert_eq!(c.post("/api/jobs", job("req-000003", 1)).await.0, 200);
+    assert_eq!(world.lock().unwrap().store["live/req-000003"].0, json!("garbage"));
+
+    // Refused by the state service: what is final is still known, the rest is 503 at once.
+    world.lock().unwrap().down = true;
+    assert_eq!(c.get("/api/jobs/req-000001").await.1["phase"], "done");
+    assert_eq!(c.get("/api/jobs/req-000009").await.0, 503);
+    assert_eq!(c.post("/api/jobs", job("req-000004", 1)).await.0, 503);
+    assert!(!world.lock().unwrap().store.contains_key("live/req-000004"));
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,3 +9,6 @@
 pub mod server;
 pub mod state;
 pub mod users;
+
+#[cfg(test)]
+mod loopback;
