--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -124,7 +124,9 @@
     pub idle_since: Option<Mono>,
     /// Images that it is believed to hold, the latest used last.
     pub images: VecDeque<(u32, f64)>,
+    /// How many times as long as their job's others its tasks run, and how many were seen.
     pub slowness: f64,
+    pub timed: u32,
 }
 
 impl Machine {
@@ -156,6 +158,7 @@
             idle_since: None,
             images: VecDeque::new(),
             slowness: 1.0,
+            timed: 0,
         }
     }
 
@@ -195,6 +198,15 @@
             && now - self.last_report <= quiet
     }
 
+    /// A task has run `ratio` times as long as its job's average. True: by now it is plain that
+    /// the machine is much slower than others.
+    pub fn time(&mut self, ratio: f64) -> bool {
+        let log = self.slowness.ln() + 0.15 * (ratio.clamp(0.1, 10.0).ln() - self.slowness.ln());
+        self.slowness = log.exp();
+        self.timed += 1;
+        self.timed >= 8 && self.slowness > 2.0
+    }
+
     pub fn touch_image(&mut self, image: u32, gb: f64, cache_gb: f64) {
         self.images.retain(|(i, _)| *i != image);
         self.images.push_back((image, gb));
@@ -220,3 +232,16 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_slow_machine_is_told_from_a_few_long_tasks() {
+        let mut m = Machine::new(String::new(), 0, 0, false, Mono(0));
+        assert!((0..40).all(|i| !m.time([0.6, 1.6, 0.8, 1.3][i % 4])));
+        let mut slow = Machine::new(String::new(), 0, 0, false, Mono(0));
+        assert_eq!((0..20).position(|_| slow.time(3.0)), Some(7));
+    }
+}
--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -178,6 +178,8 @@
     pub finishing: bool,
     pub bits_in_flight: bool,
     pub overspent: f64,
+    /// How many tasks have run how long in all.
+    pub ran: (u32, f64),
     pub errors: u32,
     pub error_machines: BTreeSet<MachineId>,
     pub pause_until: Mono,
@@ -203,6 +205,7 @@
             finishing: false,
             bits_in_flight: false,
             overspent: 0.0,
+            ran: (0, 0.0),
             errors: 0,
             error_machines: BTreeSet::new(),
             pause_until: Mono(0),
--- a/src/core/leader/workers.rs
+++ b/src/core/leader/workers.rs
@@ -291,7 +291,21 @@
                         job.set_done(i);
                     }
                 }
-                if let Some(m) = self.machines.get_mut(id) {
+                let ratio = ran.filter(|_| alone).and_then(|s| {
+                    job.ran = (job.ran.0 + 1, job.ran.1 + s);
+                    (job.ran.0 > 4).then(|| s / (job.ran.1 / f64::from(job.ran.0)).max(0.1))
+                });
+                if let Some(m) = self.machines.get_mut(id)
+                    && ratio.is_some_and(|r| m.time(r))
+                    && m.sick_until <= now
+                {
+                    // Like one that fails: avoided, and returned once it is empty.
+                    info!("machine {id} is slow and is avoided, slowness={:.1}", m.slowness);
+                    m.sick_until = now + Span(120_000);
+                    m.errors = 2;
+                } else if let Some(m) = self.machines.get_mut(id)
+                    && m.sick_until <= now
+                {
                     m.errors = 0;
                 }
             }
