--- a/src/core/leader/rounds.rs
+++ b/src/core/leader/rounds.rs
@@ -492,6 +492,7 @@
             sent: None,
             placed_at: now,
             running_since: None,
+            timed: true,
             stop: None,
             image,
             fetch_s,
--- a/src/core/leader/workers.rs
+++ b/src/core/leader/workers.rs
@@ -17,6 +17,11 @@
             // Nobody has ordered anything here: orders come after the machine's record.
             self.machines.insert(id.clone(), Machine::new(r.endpoint.clone(), kind, zone, r.spot, now));
         }
+        let quiet = self.quiet();
+        let m = self.machines.get_mut(&id)?;
+        if now - m.last_report > quiet {
+            m.slots.values_mut().for_each(|s| s.timed = false);
+        }
         let newer = self.take_report(now, &id, r);
         let m = self.machines.get_mut(&id)?;
         if r.shift < m.shift {
@@ -193,7 +198,7 @@
         }
         if before != Some(LotPhase::Exited) {
             self.dirty = true;
-            let ran = s.running_since.map(|t| (now - t).as_secs());
+            let ran = s.running_since.filter(|_| s.timed).map(|t| (now - t).as_secs());
             let stopped = s.stop.is_some();
             let expected = s.run_s;
             self.exited(now, id, key, lot, ran, stopped, expected);
@@ -220,6 +225,7 @@
             sent: None,
             placed_at: now,
             running_since: None,
+            timed: false,
             stop: None,
             image: u32::MAX,
             fetch_s: 0.0,
