Don't hand the office over within a lease's time of taking it

Cause: seen while trying the relay: a new leader that workers hadn't found yet named an heir, and offices went to and fro.

--- a/src/core/leader/machines.rs
+++ b/src/core/leader/machines.rs
@@ -113,6 +113,12 @@
         }
     }
 
+    /// Long enough in office that workers which can find this leader have done so. Before that,
+    /// silence proves nothing, and two leaders would hand the office to and fro.
+    pub fn settled(&self, now: Mono) -> bool {
+        now - self.since > self.p.lease
+    }
+
     /// Machines that should report but don't, and how many should.
     pub fn silent_machines(&self, now: Mono) -> (Vec<String>, usize) {
         let limit = self.quiet();
--- a/src/net/leading.rs
+++ b/src/net/leading.rs
@@ -280,7 +280,7 @@
     for (peer, a) in node.settings.peers.iter().zip(answers) {
         let Some(a) = a else { continue };
         l.peer_answered(now, &peer.name);
-        if a.state_ok && should_hand_over(silent, a.strays, all) {
+        if a.state_ok && l.settled(now) && should_hand_over(silent, a.strays, all) {
             heir = Some(peer.name.clone());
         }
     }
