--- a/src/core/leader/rounds.rs
+++ b/src/core/leader/rounds.rs
@@ -350,7 +350,7 @@
     ) {
         let mut gangs: BTreeMap<u32, Vec<(MachineId, u32)>> = BTreeMap::new();
         for p in &out.placements {
-            // Unsigned keys beyond the view are a peer's mistake, and dropped.
+            // Keys beyond the view are a peer's mistake, and dropped.
             let (Some((job, reclaimed)), Some(Some(machine))) =
                 (jobs.get(p.job as usize), machines.get(p.machine as usize))
             else {
--- a/src/net/loopback.rs
+++ b/src/net/loopback.rs
@@ -138,7 +138,7 @@
 fn stand_in(world: &Arc<Mutex<World>>, part: Part) -> SocketAddr {
     let addr = free_addr();
     let router = Router::with_path("{**rest}").goal(StandIn(world.clone(), part));
-    tokio::spawn(server::serve(addr, router));
+    tokio::spawn(server::serve(addr, router, 64));
     addr
 }
 
@@ -190,7 +190,7 @@
     world.lock().unwrap().worker = stand_in(&world, Part::Worker).to_string();
     let c = Client { http: Http::new(), addr: settings.listen.to_string() };
     let node = Node::new(settings, Tuning::default());
-    tokio::spawn(server::serve(node.settings.listen, server::public(&node)));
+    tokio::spawn(server::serve(node.settings.listen, server::public(&node), 64));
     tokio::time::sleep(Span(200).std()).await;
 
     // Before the machine types are known nothing can be decided, and that is said at once.
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -152,7 +152,9 @@
         .push(Router::with_path(&peers::PLAN[1..]).post(edge(node, Route::Plan)))
 }
 
-pub async fn serve(addr: SocketAddr, router: Router) -> Result<(), String> {
+/// Serves at most `most` connections at once. Those beyond wait unaccepted, so that the load
+/// balancer and the workers turn to another controller.
+pub async fn serve(addr: SocketAddr, router: Router, most: usize) -> Result<(), String> {
     let listener = TcpListener::new(addr).try_bind().await.map_err(|e| format!("{addr}: {e}"))?;
-    Server::new(listener).try_serve(router).await.map_err(|e| format!("{addr}: {e}"))
+    Server::new(listener).max_connections(most).try_serve(router).await.map_err(|e| format!("{addr}: {e}"))
 }
