One piece of code for what was written several times

The zone rule stood in four places (plan, check, preemption, moving replicas), now miser::zone_allowed; a task's need in four, now Amount::of_task; direct orders had a twin type beside wire's. Gone: a worker's baton that was kept but never read, a result of adopt() that was always true, and a parameter that said what learn() checks itself. No change of behaviour meant.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -5,7 +5,7 @@
 
 use crate::ids::{Attempt, Baton, MachineId, Shift, Tally, TaskId};
 use crate::time::{Mono, Span};
-use crate::wire::{LotPhase, MachineType, Order, Priority};
+use crate::wire::{JobSpec, LotPhase, MachineType, Order, Priority};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -35,6 +35,9 @@
     pub fn of_type(t: &MachineType) -> Amount {
         Amount { cpus: t.cpus, gpus: t.gpus, memory_gb: t.memory_gb }
     }
+    pub fn of_task(s: &JobSpec) -> Amount {
+        Amount { cpus: s.cpus, gpus: s.gpus, memory_gb: s.memory_gb }
+    }
     pub fn add(&mut self, o: &Amount) {
         self.cpus += o.cpus;
         self.gpus += o.gpus;
@@ -106,7 +109,6 @@
     pub commission: Commission,
     pub shift: Shift,
     pub tally: Tally,
-    pub baton: Baton,
     pub last_report: Mono,
     /// Everything possibly on it is in `slots`: it has reported under this leader's baton, or
     /// never had an order, or is proven empty.
@@ -144,7 +146,6 @@
             commission: Commission::No,
             shift: Shift(0),
             tally: Tally(0),
-            baton: Baton(0),
             last_report: now,
             accounted: true,
             fence: 0,
--- a/src/core/leader/mod.rs
+++ b/src/core/leader/mod.rs
@@ -41,7 +41,7 @@
     Orders {
         ticket: u64,
         endpoint: String,
-        body: DirectOrdersBody,
+        body: DirectOrders,
     },
     Commit {
         ticket: u64,
@@ -56,20 +56,6 @@
     },
 }
 
-/// Orders as they go to a worker directly.
-#[derive(Clone, Debug, PartialEq)]
-pub struct DirectOrdersBody {
-    pub baton: Baton,
-    pub shift: crate::ids::Shift,
-    pub orders: Vec<Order>,
-}
-
-impl From<DirectOrdersBody> for DirectOrders {
-    fn from(b: DirectOrdersBody) -> DirectOrders {
-        DirectOrders { baton: b.baton, shift: b.shift, orders: b.orders }
-    }
-}
-
 #[derive(Clone, Debug)]
 pub enum OrdersResult {
     Executed(Report),
--- a/src/core/leader/room.rs
+++ b/src/core/leader/room.rs
@@ -83,22 +83,20 @@
                 let Some(job) = self.jobs.get(&key.0.job) else { continue };
                 let mut zones = zone_counts(job, &self.machines);
                 zones.iter_mut().filter(|z| z.zone == source.zone).for_each(|z| z.count -= 1);
+                let spec = &job.spec;
                 let fits = |id: &MachineId, m: &Machine| {
                     let t = &self.types[m.kind];
-                    let here = zones.iter().filter(|z| z.zone == m.zone).map(|z| z.count).sum::<u32>();
-                    let elsewhere = zones.iter().any(|z| z.zone != m.zone && z.count > 0);
                     id != from
                         && m.usable(now, quiet)
                         && m.busy()
                         && t.gpus <= 0.0
-                        && (!m.spot || job.spec.spot)
+                        && (!m.spot || spec.spot)
                         && (share(m) > share(source) || self.types[source.kind].gpus > 0.0)
                         && m.image_ready(slot.image, now) == Some(0.0)
                         && m.free(t).holds(&slot.need)
-                        && jobs::type_allows(&job.spec, t)
-                        && job.spec.zone.as_ref().is_none_or(|z| *z == self.zones[m.zone as usize])
-                        && !(job.spec.spread && here >= job.spec.tasks.div_ceil(2))
-                        && !(job.spec.one_zone && elsewhere)
+                        && jobs::type_allows(spec, t)
+                        && spec.zone.as_ref().is_none_or(|z| *z == self.zones[m.zone as usize])
+                        && miser::zone_allowed(spec.spread, spec.one_zone, spec.tasks, &zones, m.zone)
                 };
                 let to =
                     self.machines.iter().filter(|(id, m)| fits(id, m)).max_by(|a, b| share(a.1).total_cmp(&share(b.1)));
@@ -158,29 +156,20 @@
     /// Stops work of lower priority where that makes room for one task. False: nowhere.
     pub(super) fn make_room(&mut self, now: Mono, id: &JobId, view: &JobView) -> bool {
         let Some(j) = self.jobs.get(id) else { return false };
-        let need = Amount { cpus: view.cpus, gpus: view.gpus, memory_gb: view.memory_gb };
+        let need = Amount::of_task(&j.spec);
+        // What is placed, and what room is being made for.
+        let mut placed = view.placed.clone();
+        let coming = self.reservations.iter().filter(|r| r.job == *id).filter_map(|r| self.machines.get(&r.machine));
+        placed.extend(coming.map(|m| ZoneCount { zone: m.zone, count: 1 }));
         let quiet = self.quiet();
         let mut best: Option<(f64, MachineId, Vec<SlotKey>)> = None;
         for (mid, m) in &self.machines {
             let t = &self.types[m.kind];
-            let zone_ok = {
-                // Counts what is placed, and what room is being made for.
-                let coming = |zone_is: &dyn Fn(u32) -> bool| {
-                    let of = self.reservations.iter().filter(|r| r.job == *id);
-                    of.filter(|r| self.machines.get(&r.machine).is_some_and(|m| zone_is(m.zone))).count() as u32
-                };
-                let at = |zone_is: &dyn Fn(u32) -> bool| {
-                    view.placed.iter().filter(|z| zone_is(z.zone)).map(|z| z.count).sum::<u32>() + coming(zone_is)
-                };
-                let here = at(&|z| z == m.zone);
-                let elsewhere = at(&|z| z != m.zone) > 0;
-                !(view.spread && here >= view.tasks.div_ceil(2) || view.one_zone && elsewhere)
-            };
             if !m.usable(now, quiet)
                 || !jobs::type_allows(&j.spec, t)
                 || view.zone.is_some_and(|z| z != m.zone)
                 || (m.spot && !view.spot)
-                || !zone_ok
+                || !miser::zone_allowed(view.spread, view.one_zone, view.tasks, &placed, m.zone)
                 || j.error_machines.contains(mid)
             {
                 continue;
--- a/src/core/leader/rounds.rs
+++ b/src/core/leader/rounds.rs
@@ -402,19 +402,17 @@
         let (Some(j), Some(m)) = (self.jobs.get(job), self.machines.get(machine)) else { return false };
         let t = &self.types[m.kind];
         let s = &j.spec;
-        let need = Amount { cpus: s.cpus, gpus: s.gpus, memory_gb: s.memory_gb };
+        let need = Amount::of_task(s);
         let mut free = m.free(t);
         free.sub(&kept);
         let zone = &self.zones[m.zone as usize];
         let placed = zone_counts(j, &self.machines);
-        let here = placed.iter().filter(|z| z.zone == m.zone).map(|z| z.count).sum::<u32>();
         m.usable(now, self.quiet())
             && free.holds(&need)
             && jobs::type_allows(s, t)
             && s.zone.as_ref().is_none_or(|z| z == zone)
             && (s.spot || !m.spot)
-            && !(s.spread && here >= s.tasks.div_ceil(2))
-            && !(s.one_zone && placed.iter().any(|z| z.zone != m.zone && z.count > 0))
+            && miser::zone_allowed(s.spread, s.one_zone, s.tasks, &placed, m.zone)
             && self.quota_holds(j, n)
     }
 
@@ -485,7 +483,7 @@
         m.touch_image(image, s.image_gb, t.cache_gb);
         let task = TaskId { job: job.clone(), index };
         let slot = Slot {
-            need: Amount { cpus: s.cpus, gpus: s.gpus, memory_gb: s.memory_gb },
+            need: Amount::of_task(s),
             team: Some(j.team),
             priority: s.priority,
             phase: None,
--- a/src/core/leader/workers.rs
+++ b/src/core/leader/workers.rs
@@ -106,7 +106,6 @@
         let Some(m) = self.machines.get_mut(id) else { return false };
         m.shift = r.shift;
         m.tally = r.tally;
-        m.baton = m.baton.max(r.baton);
         let fence = Baton::new(self.term, m.fence);
         if m.fencing && r.baton >= fence {
             m.fencing = false;
@@ -167,8 +166,8 @@
     pub(super) fn take_lot(&mut self, now: Mono, id: &MachineId, key: &SlotKey, lot: &LotReport) {
         let (task, attempt) = key;
         let known = self.machines.get(id).is_some_and(|m| m.slots.contains_key(key));
-        if !known && !self.adopt(now, id, key, lot) {
-            return;
+        if !known {
+            self.adopt(now, id, key, lot);
         }
         let over = !self.jobs.contains_key(&task.job);
         let Some(m) = self.machines.get_mut(id) else { return };
@@ -200,8 +199,7 @@
             self.dirty = true;
             let ran = s.running_since.filter(|_| s.timed).map(|t| (now - t).as_secs());
             let stopped = s.stop.is_some();
-            let expected = s.run_s;
-            self.exited(now, id, key, lot, ran, stopped, expected);
+            self.exited(now, id, key, lot, ran, stopped);
         }
         // The worker may forget it once a done task is durably so; other ends need no keeping.
         let durable = match self.jobs.get(&task.job) {
@@ -213,10 +211,10 @@
         }
     }
 
-    /// Enters a listed task that the ledger doesn't have. False: there is nothing to follow up.
-    pub(super) fn adopt(&mut self, now: Mono, id: &MachineId, key: &SlotKey, lot: &LotReport) -> bool {
+    /// Enters a listed task that the ledger doesn't have.
+    pub(super) fn adopt(&mut self, now: Mono, id: &MachineId, key: &SlotKey, lot: &LotReport) {
         let (task, attempt) = key;
-        let Some(m) = self.machines.get_mut(id) else { return false };
+        let Some(m) = self.machines.get_mut(id) else { return };
         let mut slot = Slot {
             need: Amount::default(),
             team: None,
@@ -240,7 +238,7 @@
                 info!("machine {id} lists {task} try {attempt}, and so do {places:?}");
             }
             let s = &job.spec;
-            slot.need = Amount { cpus: s.cpus, gpus: s.gpus, memory_gb: s.memory_gb };
+            slot.need = Amount::of_task(s);
             slot.team = Some(job.team);
             slot.priority = s.priority;
             slot.run_s = self.times.expect(&s.class, s.estimate_s);
@@ -260,11 +258,9 @@
             }
         }
         m.slots.insert(key.clone(), slot);
-        true
     }
 
     /// A task has ended, by its worker's word.
-    #[allow(clippy::too_many_arguments)]
     pub(super) fn exited(
         &mut self,
         now: Mono,
@@ -273,7 +269,6 @@
         lot: &LotReport,
         ran: Option<f64>,
         stopped: bool,
-        expected: f64,
     ) {
         let (task, attempt) = key;
         let cause = lot.cause.unwrap_or(Cause::Other);
@@ -285,7 +280,6 @@
             Cause::Done => {
                 if let Some(s) = ran
                     && alone
-                    && expected > 0.0
                 {
                     self.times.learn(&job.spec.class, job.spec.estimate_s, s);
                 }
@@ -457,7 +451,7 @@
             self.tickets += 1;
             m.in_flight = Some(self.tickets);
             self.orders.insert(self.tickets, (id.clone(), runs));
-            let body = DirectOrdersBody { baton, shift: m.shift, orders };
+            let body = DirectOrders { baton, shift: m.shift, orders };
             self.actions.push(Action::Orders { ticket: self.tickets, endpoint: m.endpoint.clone(), body });
         }
         let _ = now;
--- a/src/core/miser.rs
+++ b/src/core/miser.rs
@@ -97,6 +97,14 @@
     if spot { due_s - run_s } else { due_s }
 }
 
+/// Whether one more task may go to the zone, given where the job's others are: of a spread job at
+/// most half, rounded up, are in one zone; of a one-zone job all are.
+pub fn zone_allowed(spread: bool, one_zone: bool, tasks: u32, placed: &[ZoneCount], zone: u32) -> bool {
+    let here = placed.iter().filter(|z| z.zone == zone).map(|z| z.count).sum::<u32>();
+    let elsewhere = placed.iter().any(|z| z.zone != zone && z.count > 0);
+    !(spread && here >= tasks.div_ceil(2) || one_zone && elsewhere)
+}
+
 /// The quality of a choice among those open to the task (paper, eq. 4, 5 and 7).
 pub fn quality(c: &Choice, lo: &Choice, hi: &Choice) -> f64 {
     let part = |x: f64, lo: f64, hi: f64| if hi - lo > EPS { 1.0 - (x - lo) / (hi - lo) } else { 1.0 };
@@ -354,9 +362,7 @@
     }
 
     fn zone_open(a: &Active, zone: u32) -> bool {
-        let here = a.zones.iter().filter(|z| z.zone == zone).map(|z| z.count).sum::<u32>();
-        let elsewhere = a.zones.iter().any(|z| z.zone != zone && z.count > 0);
-        !(a.job.spread && here >= a.job.tasks.div_ceil(2) || a.job.one_zone && elsewhere)
+        zone_allowed(a.job.spread, a.job.one_zone, a.job.tasks, &a.zones, zone)
     }
 
     /// The place of the highest quality for the job's next task (paper, lines 10-16).
--- a/src/net/leading.rs
+++ b/src/net/leading.rs
@@ -11,7 +11,7 @@
 use crate::ids::{JobId, Stamp, Term};
 use crate::peer::HelloAnswer;
 use crate::time::Span;
-use crate::wire::{Change, DirectOrders, Guard, LogEntry, MachineType, Report, Txn};
+use crate::wire::{Change, Guard, LogEntry, MachineType, Report, Txn};
 use hyper::Method;
 use log::{debug, info, warn};
 use serde_json::json;
@@ -117,7 +117,7 @@
 async fn perform(node: Arc<Node>, action: Action) {
     match action {
         Action::Orders { ticket, endpoint, body } => {
-            let body = serde_json::to_vec(&DirectOrders::from(body)).unwrap_or_default();
+            let body = serde_json::to_vec(&body).unwrap_or_default();
             let answer = node.http.call(Method::POST, &endpoint, "/orders", body, Span(2_000)).await;
             let report = |b: &[u8]| serde_json::from_slice::<Report>(b).ok();
             let result = match answer {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -172,7 +172,7 @@
     pub orders: Vec<Order>,
 }
 
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, PartialEq, Debug, Serialize)]
 pub struct DirectOrders {
     pub baton: Baton,
     pub shift: Shift,
