--- a/src/core/leader/machines.rs
+++ b/src/core/leader/machines.rs
@@ -2,12 +2,22 @@
 
 use super::*;
 
+/// Leases and silence are looked at this often; each look goes through all machines.
+const LOOK_EVERY: Span = Span(200);
+const MAX_ROUND_MS: f64 = 1_500.0;
+
 impl Leader {
     pub fn tick(&mut self, now: Mono, wall: Wall) {
-        self.expire(now);
-        self.look_after_machines(now);
+        self.note_lag(now);
+        if now - self.looked_at >= LOOK_EVERY {
+            self.looked_at = now;
+            self.expire(now);
+            self.look_after_machines(now);
+        }
         self.write(now);
-        let due = Span(self.tuning.round_ms as u64);
+        // Rounds are the bulk of the work: where ticks come late, rounds come seldom, and each
+        // decides more.
+        let due = Span((self.tuning.round_ms + 6.0 * self.lag_ms).min(MAX_ROUND_MS) as u64);
         self.move_shares(now);
         self.use_reservations(now);
         self.consolidate(now);
@@ -16,7 +26,14 @@
         {
             self.round(now, wall);
         }
-        self.flush_orders(now);
+        self.flush_orders();
+    }
+
+    /// Averages by how much ticks come later than they should.
+    fn note_lag(&mut self, now: Mono) {
+        let late = (now - self.ticked_at).0.saturating_sub(TICK.0) as f64;
+        self.ticked_at = now;
+        self.lag_ms += 0.1 * (late - self.lag_ms);
     }
 
     /// Past its lease a worker that nobody answered has killed everything.
@@ -47,7 +64,7 @@
             let spot = m.spot;
             let keys: Vec<SlotKey> = m.slots.keys().cloned().collect();
             for k in keys {
-                self.vanish(now, &id, &k, spot);
+                self.vanish(&id, &k, spot);
             }
         }
     }
@@ -146,7 +163,7 @@
             let keys: Vec<SlotKey> = m.slots.keys().cloned().collect();
             let (spot, commissioned) = (m.spot, m.commission != Commission::No);
             for k in keys {
-                self.vanish(now, id, &k, spot);
+                self.vanish(id, &k, spot);
             }
             self.machines.remove(id);
             self.gone.insert(id.clone());
--- a/src/core/leader/mod.rs
+++ b/src/core/leader/mod.rs
@@ -141,10 +141,25 @@
     open_round: Option<Round>,
     reservations: Vec<Reservation>,
     move_at: Mono,
+    /// When the machines were last looked through.
+    looked_at: Mono,
+    /// The last tick, and how far the ticks fall behind: a measure of the processor's load.
+    ticked_at: Mono,
+    lag_ms: f64,
+    /// What each team possibly uses: counted when it is needed, kept up by starts, and dropped
+    /// whenever a report may have added to it.
+    usage: Option<Usage>,
     actions: Vec<Action>,
     spot_lives: SpotLives,
 }
 
+/// What is possibly on machines, by team.
+struct Usage {
+    teams: Vec<Amount>,
+    /// All of every machine whose tasks aren't known: it may hold any team's.
+    dark: Amount,
+}
+
 /// The log-normal of spot machines' lives: starts at the settings' median and shifts with what is
 /// seen (ours: the paper leaves the fit to "historical data").
 struct SpotLives {
@@ -184,6 +199,9 @@
 
 const RESERVED_FOR: Span = Span(4_000);
 
+/// The edges call [`Leader::tick`] this often.
+pub const TICK: Span = Span(50);
+
 /// How long a round waits for its parts.
 const PATIENCE: Span = Span(250);
 
@@ -255,6 +273,10 @@
             open_round: None,
             reservations: Vec::new(),
             move_at: now,
+            looked_at: now,
+            ticked_at: now,
+            lag_ms: 0.0,
+            usage: None,
             actions: Vec::new(),
         }
     }
@@ -380,7 +402,7 @@
     }
 
     /// The watch has missed changes: what is no longer listed is over.
-    pub fn reload_live(&mut self, now: Mono, rows: Vec<Row>, epoch: u64) {
+    pub fn reload_live(&mut self, rows: Vec<Row>, epoch: u64) {
         let mut listed = BTreeSet::new();
         for row in rows {
             if let Some(id) = row.path.strip_prefix(LIVE).and_then(JobId::parse) {
@@ -391,12 +413,12 @@
         let gone = |(id, j): &(&JobId, &Job)| !listed.contains(*id) && j.stamp.0 <= epoch;
         let over: Vec<JobId> = self.jobs.iter().filter(gone).map(|(id, _)| id.clone()).collect();
         for id in over {
-            self.on_over(now, &id);
+            self.on_over(&id);
         }
     }
 
     /// The job is over: done, or cancelled by its user. Whatever of it is on machines must go.
-    pub fn on_over(&mut self, now: Mono, id: &JobId) {
+    pub fn on_over(&mut self, id: &JobId) {
         if !self.over.contains(id) {
             self.over.push_back(id.clone());
             if self.over.len() > MAX_OVER {
@@ -418,7 +440,7 @@
                 stop_slot(m, &k, 0.0);
             }
         }
-        self.flush_orders(now);
+        self.flush_orders();
     }
 }
 
--- a/src/core/leader/room.rs
+++ b/src/core/leader/room.rs
@@ -126,10 +126,11 @@
             let machines: Vec<MachineId> =
                 self.reservations.iter().filter(|r| r.job == job).map(|r| r.machine.clone()).collect();
             if j.spec.kind == Kind::Gang {
-                let idle = j.gang.is_none() && j.placed.is_empty() && j.ready.len() as u32 == j.spec.tasks;
-                if !idle || machines.len() as u32 != j.spec.tasks {
+                let tasks = j.spec.tasks;
+                let idle = j.gang.is_none() && j.placed.is_empty() && j.ready.len() as u32 == tasks;
+                if !idle || machines.len() as u32 != tasks {
                     done.insert(job);
-                } else if machines.iter().all(|m| self.may_place(now, &job, m, f64::from(j.spec.tasks))) {
+                } else if machines.iter().all(|m| self.may_place(now, &job, m, f64::from(tasks))) {
                     let parts: Vec<(MachineId, u32)> = machines.into_iter().map(|m| (m, 1)).collect();
                     self.start_gang(now, &job, &parts);
                     done.insert(job);
--- a/src/core/leader/rounds.rs
+++ b/src/core/leader/rounds.rs
@@ -87,23 +87,25 @@
         let types: Vec<TypeView> = self.types.iter().map(type_view).collect();
         let mut machines = Vec::new();
         let mut machine_ids = Vec::new();
-        let mut used: BTreeMap<u32, Amount> = BTreeMap::new();
-        // What machines that are not accounted for may hold of any team.
-        let mut dark = Amount::default();
-        let mut all_accounted = true;
+        self.usage = None;
+        let all_accounted = self.machines.values().all(|m| m.accounted);
+        let waits = |j: &&Job| !j.ready.is_empty() && j.pause_until <= now && !j.finishing;
+        // A machine without room for the least that anyone needs is no candidate.
+        let least = self.jobs.values().filter(waits).fold(None, |l: Option<Amount>, j| {
+            let n = Amount::of_task(&j.spec);
+            Some(l.map_or(n, |l| Amount {
+                cpus: l.cpus.min(n.cpus),
+                gpus: l.gpus.min(n.gpus),
+                memory_gb: l.memory_gb.min(n.memory_gb),
+            }))
+        });
+        let mut kept: BTreeMap<&MachineId, Amount> = BTreeMap::new();
+        for r in &self.reservations {
+            kept.entry(&r.machine).or_default().add(&r.need);
+        }
         let mut cpus_up = 0.0;
         for (id, m) in &self.machines {
             let t = &self.types[m.kind];
-            for s in m.slots.values().filter(|s| !s.exited()) {
-                match s.team {
-                    Some(team) => used.entry(team).or_default().add(&s.need),
-                    None => dark.add(&Amount::of_type(t)),
-                }
-            }
-            if !m.accounted {
-                dark.add(&Amount::of_type(t));
-                all_accounted = false;
-            }
             let usable = m.usable(now, quiet);
             let booting = !m.up && !m.doomed && m.commission == Commission::No;
             let settling = m.up && !m.doomed && m.accounted && m.commission != Commission::Yes;
@@ -114,7 +116,12 @@
                 cpus_up += t.cpus;
             }
             let mut free = m.free(t);
-            self.reserved(id).for_each(|r| free.sub(&r.need));
+            if let Some(k) = kept.get(id) {
+                free.sub(k);
+            }
+            if least.is_none_or(|l| !free.holds(&l)) {
+                continue;
+            }
             let spare = self.spare(m);
             let age = (now - m.since).as_secs();
             let ready_s = if usable {
@@ -166,17 +173,19 @@
         }
         let offers = self.offers(now);
         let guaranteed = self.guaranteed();
+        self.count_usage();
         let mut teams = Vec::new();
-        for (i, t) in self.settings.cluster.teams.iter().enumerate() {
-            let u = used.get(&(i as u32)).copied().unwrap_or_default();
+        if let Some(usage) = &self.usage {
             let left = |most: f64, used: f64, dark: f64| {
                 if most > 0.0 { (most - used - dark).max(0.0) } else { 1e12 }
             };
-            teams.push(TeamLeft {
-                team: i as u32,
-                cpus: left(t.cpus_max, u.cpus, dark.cpus),
-                gpus: left(t.gpus_max, u.gpus, dark.gpus),
-            });
+            for (i, (t, u)) in self.settings.cluster.teams.iter().zip(&usage.teams).enumerate() {
+                teams.push(TeamLeft {
+                    team: i as u32,
+                    cpus: left(t.cpus_max, u.cpus, usage.dark.cpus),
+                    gpus: left(t.gpus_max, u.gpus, usage.dark.gpus),
+                });
+            }
         }
         let mut backlog = 0.0;
         for j in self.jobs.values() {
@@ -255,12 +264,12 @@
                 age_s: age,
                 overspent: j.overspent,
                 placed: zone_counts(j, &self.machines),
-                avoid: machine_ids
-                    .iter()
-                    .enumerate()
-                    .filter(|(_, m)| m.as_ref().is_some_and(|m| j.error_machines.contains(m) && !j.at_fault()))
-                    .map(|(i, _)| i as u32)
-                    .collect(),
+                avoid: if j.error_machines.is_empty() || j.at_fault() {
+                    Vec::new()
+                } else {
+                    let failed = |m: &Option<MachineId>| m.as_ref().is_some_and(|m| j.error_machines.contains(m));
+                    machine_ids.iter().enumerate().filter(|(_, m)| failed(m)).map(|(i, _)| i as u32).collect()
+                },
                 guaranteed: guaranteed.contains(id),
                 may_rent: !j.at_fault() && (j.spec.priority <= Priority::High || drain_s > 8.0),
                 ..Default::default()
@@ -387,7 +396,7 @@
         }
         self.rent(now, &out.wishes);
         self.heed_waiting(now, input, out, jobs);
-        self.flush_orders(now);
+        self.flush_orders();
     }
 
     pub(super) fn next_attempt(&mut self) -> Attempt {
@@ -396,7 +405,7 @@
     }
 
     /// The leader's own check of one start, whoever planned it.
-    pub(super) fn may_place(&self, now: Mono, job: &JobId, machine: &MachineId, n: f64) -> bool {
+    pub(super) fn may_place(&mut self, now: Mono, job: &JobId, machine: &MachineId, n: f64) -> bool {
         let mut kept = Amount::default();
         self.reserved(machine).filter(|r| r.job != *job).for_each(|r| kept.add(&r.need));
         let (Some(j), Some(m)) = (self.jobs.get(job), self.machines.get(machine)) else { return false };
@@ -407,32 +416,46 @@
         free.sub(&kept);
         let zone = &self.zones[m.zone as usize];
         let placed = zone_counts(j, &self.machines);
+        let team = j.team;
         m.usable(now, self.quiet())
             && free.holds(&need)
             && jobs::type_allows(s, t)
             && s.zone.as_ref().is_none_or(|z| z == zone)
             && (s.spot || !m.spot)
             && miser::zone_allowed(s.spread, s.one_zone, s.tasks, &placed, m.zone)
-            && self.quota_holds(j, n)
+            && self.quota_holds(team, &need, n)
     }
 
     /// Counts everything possibly on a machine, and all of a machine that isn't accounted for.
-    pub(super) fn quota_holds(&self, j: &Job, n: f64) -> bool {
-        let Some(team) = self.settings.cluster.teams.get(j.team as usize) else { return false };
-        if team.cpus_max <= 0.0 && team.gpus_max <= 0.0 {
-            return true;
-        }
-        let mut used = Amount::default();
-        for m in self.machines.values() {
-            for s in m.slots.values().filter(|s| !s.exited() && s.team == Some(j.team)) {
-                used.add(&s.need);
-            }
-            if !m.accounted || m.has_unknown() {
-                used.add(&Amount::of_type(&self.types[m.kind]));
+    pub(super) fn count_usage(&mut self) -> &Usage {
+        self.usage.get_or_insert_with(|| {
+            let mut u =
+                Usage { teams: vec![Amount::default(); self.settings.cluster.teams.len()], dark: Amount::default() };
+            for m in self.machines.values() {
+                for s in m.slots.values().filter(|s| !s.exited()) {
+                    if let Some(t) = s.team.and_then(|t| u.teams.get_mut(t as usize)) {
+                        t.add(&s.need);
+                    }
+                }
+                if !m.accounted || m.has_unknown() {
+                    u.dark.add(&Amount::of_type(&self.types[m.kind]));
+                }
             }
+            u
+        })
+    }
+
+    pub(super) fn quota_holds(&mut self, team: u32, need: &Amount, n: f64) -> bool {
+        let Some(t) = self.settings.cluster.teams.get(team as usize) else { return false };
+        let (cpus_max, gpus_max) = (t.cpus_max, t.gpus_max);
+        if cpus_max <= 0.0 && gpus_max <= 0.0 {
+            return true;
         }
+        let u = self.count_usage();
+        let mut used = u.teams[team as usize];
+        used.add(&u.dark);
         let fits = |most: f64, used: f64, need: f64| most <= 0.0 || used + need * n <= most + 1e-9;
-        fits(team.cpus_max, used.cpus, j.spec.cpus) && fits(team.gpus_max, used.gpus, j.spec.gpus)
+        fits(cpus_max, used.cpus, need.cpus) && fits(gpus_max, used.gpus, need.gpus)
     }
 
     pub(super) fn start_gang(&mut self, now: Mono, job: &JobId, parts: &[(MachineId, u32)]) {
@@ -497,6 +520,9 @@
             run_s: self.times.expect(&s.class, s.estimate_s),
         };
         j.place(index, machine, attempt);
+        if let Some(u) = &mut self.usage {
+            u.teams[j.team as usize].add(&slot.need);
+        }
         debug!("start {task} try {attempt} on {machine}");
         m.order(Order::Run { lot: task.to_string(), attempt });
         m.slots.insert((task, attempt), slot);
--- a/src/core/leader/workers.rs
+++ b/src/core/leader/workers.rs
@@ -39,7 +39,7 @@
             m.outbox = runs;
             orders = rest;
         }
-        self.flush_orders(now);
+        self.flush_machine(&id);
         Some(ReportAnswer { baton, orders })
     }
 
@@ -61,7 +61,7 @@
             OrdersResult::Rejected(r) => {
                 // Nothing of it was carried out, nor will it be.
                 for k in &sent {
-                    self.vanish(now, &id, k, false);
+                    self.vanish(&id, k, false);
                 }
                 self.take_report(now, &id, &r);
             }
@@ -77,7 +77,7 @@
                 debug!("machine {id}: orders unanswered, fence={}", m.fence);
             }
         }
-        self.flush_orders(now);
+        self.flush_machine(&id);
     }
 
     /// Takes in what a worker lists. False: something newer was known.
@@ -99,7 +99,7 @@
                 info!("machine {id}: new session, tasks={}", keys.len());
             }
             for k in keys {
-                self.vanish(now, id, &k, false);
+                self.vanish(id, &k, false);
             }
         }
         let own = Baton::new(self.term, 0);
@@ -153,7 +153,7 @@
             .map(|(k, _)| k.clone())
             .collect();
         for k in missing {
-            self.vanish(now, id, &k, false);
+            self.vanish(id, &k, false);
         }
         let Some(m) = self.machines.get_mut(id) else { return false };
         if m.commission == Commission::No && !m.doomed {
@@ -214,6 +214,7 @@
     /// Enters a listed task that the ledger doesn't have.
     pub(super) fn adopt(&mut self, now: Mono, id: &MachineId, key: &SlotKey, lot: &LotReport) {
         let (task, attempt) = key;
+        self.usage = None;
         let Some(m) = self.machines.get_mut(id) else { return };
         let mut slot = Slot {
             need: Amount::default(),
@@ -340,12 +341,12 @@
             }
         }
         if !alone && cause != Cause::Done {
-            self.break_gang(now, &task.job, *attempt);
+            self.break_gang(&task.job, *attempt);
         }
     }
 
     /// A task is proven to be gone without its worker's word on how it ended.
-    pub(super) fn vanish(&mut self, now: Mono, id: &MachineId, key: &SlotKey, reclaimed: bool) {
+    pub(super) fn vanish(&mut self, id: &MachineId, key: &SlotKey, reclaimed: bool) {
         let Some(m) = self.machines.get_mut(id) else { return };
         let Some(slot) = m.slots.remove(key) else { return };
         let run = Order::Run { lot: key.0.to_string(), attempt: key.1 };
@@ -359,12 +360,12 @@
         job.unplace(task.index, id, *attempt);
         job.requeue(task.index, reclaimed);
         if job.spec.kind == Kind::Gang {
-            self.break_gang(now, &task.job, *attempt);
+            self.break_gang(&task.job, *attempt);
         }
     }
 
     /// The rest of a gang's attempt goes; a new attempt starts once all are gone.
-    pub(super) fn break_gang(&mut self, now: Mono, id: &JobId, attempt: Attempt) {
+    pub(super) fn break_gang(&mut self, id: &JobId, attempt: Attempt) {
         let Some(job) = self.jobs.get_mut(id) else { return };
         if job.placed.is_empty() {
             // Whatever attempt the last one was of.
@@ -379,7 +380,7 @@
                 stop_slot(m, &(TaskId { job: id.clone(), index }, attempt), 0.0);
             }
         }
-        self.flush_orders(now);
+        self.flush_orders();
     }
 
     /// Stops a task, or the whole gang that it belongs to, leaving it time to save.
@@ -419,41 +420,48 @@
     }
 
     /// Sends what is in the outboxes of machines that have no orders under way.
-    pub(super) fn flush_orders(&mut self, now: Mono) {
-        for (id, m) in &mut self.machines {
-            if m.outbox.is_empty() || m.in_flight.is_some() || m.fencing || m.doomed || !m.up {
-                continue;
-            }
-            // Clears can wait for the next report.
-            if m.outbox.iter().all(|o| matches!(o, Order::Clear { .. })) {
-                continue;
-            }
-            let mut orders: Vec<Order> = std::mem::take(&mut m.outbox);
-            // Room first: what ends goes before what starts.
-            orders.sort_by_key(|o| match o {
-                Order::Clear { .. } => 0,
-                Order::Stop { .. } => 1,
-                Order::Run { .. } => 2,
-            });
-            let baton = Baton::new(self.term, m.fence);
-            let mut runs = Vec::new();
-            for o in &orders {
-                if let Order::Run { lot, attempt } = o
-                    && let Some(task) = TaskId::parse(lot)
-                {
-                    let key = (task, *attempt);
-                    if let Some(s) = m.slots.get_mut(&key) {
-                        s.sent = Some(Sent { baton, answered: false });
-                    }
-                    runs.push(key);
+    pub(super) fn flush_orders(&mut self) {
+        let waiting = |m: &Machine| !m.outbox.is_empty() && m.in_flight.is_none();
+        let ids: Vec<MachineId> = self.machines.iter().filter(|(_, m)| waiting(m)).map(|(id, _)| id.clone()).collect();
+        for id in ids {
+            self.flush_machine(&id);
+        }
+    }
+
+    /// The same for one machine; reports, which are many, need no look at the others.
+    pub(super) fn flush_machine(&mut self, id: &MachineId) {
+        let Some(m) = self.machines.get_mut(id) else { return };
+        if m.outbox.is_empty() || m.in_flight.is_some() || m.fencing || m.doomed || !m.up {
+            return;
+        }
+        // Clears can wait for the next report.
+        if m.outbox.iter().all(|o| matches!(o, Order::Clear { .. })) {
+            return;
+        }
+        let mut orders: Vec<Order> = std::mem::take(&mut m.outbox);
+        // Room first: what ends goes before what starts.
+        orders.sort_by_key(|o| match o {
+            Order::Clear { .. } => 0,
+            Order::Stop { .. } => 1,
+            Order::Run { .. } => 2,
+        });
+        let baton = Baton::new(self.term, m.fence);
+        let mut runs = Vec::new();
+        for o in &orders {
+            if let Order::Run { lot, attempt } = o
+                && let Some(task) = TaskId::parse(lot)
+            {
+                let key = (task, *attempt);
+                if let Some(s) = m.slots.get_mut(&key) {
+                    s.sent = Some(Sent { baton, answered: false });
                 }
+                runs.push(key);
             }
-            self.tickets += 1;
-            m.in_flight = Some(self.tickets);
-            self.orders.insert(self.tickets, (id.clone(), runs));
-            let body = DirectOrders { baton, shift: m.shift, orders };
-            self.actions.push(Action::Orders { ticket: self.tickets, endpoint: m.endpoint.clone(), body });
         }
-        let _ = now;
+        self.tickets += 1;
+        m.in_flight = Some(self.tickets);
+        self.orders.insert(self.tickets, (id.clone(), runs));
+        let body = DirectOrders { baton, shift: m.shift, orders };
+        self.actions.push(Action::Orders { ticket: self.tickets, endpoint: m.endpoint.clone(), body });
     }
 }
--- a/src/core/leader/writes.rs
+++ b/src/core/leader/writes.rs
@@ -137,6 +137,7 @@
                 }
             }
             Purpose::Bits(jobs) => {
+                let mut durable_now: BTreeSet<JobId> = BTreeSet::new();
                 for (id, durable) in jobs {
                     let Some(job) = self.jobs.get_mut(&id) else { continue };
                     job.bits_in_flight = false;
@@ -144,23 +145,24 @@
                         continue;
                     }
                     job.durable = durable;
-                    for m in self.machines.values_mut() {
-                        let clear: Vec<SlotKey> = m
-                            .slots
-                            .iter()
-                            .filter(|((t, _), s)| t.job == id && s.exited() && job.durable.contains(t.index as usize))
-                            .map(|(k, _)| k.clone())
-                            .collect();
-                        for (task, attempt) in clear {
-                            m.order(Order::Clear { lot: task.to_string(), attempt });
-                        }
+                    durable_now.insert(id);
+                }
+                for m in self.machines.values_mut() {
+                    let kept = |t: &TaskId| {
+                        durable_now.contains(&t.job)
+                            && self.jobs.get(&t.job).is_some_and(|j| j.durable.contains(t.index as usize))
+                    };
+                    let clear: Vec<SlotKey> =
+                        m.slots.iter().filter(|((t, _), s)| s.exited() && kept(t)).map(|(k, _)| k.clone()).collect();
+                    for (task, attempt) in clear {
+                        m.order(Order::Clear { lot: task.to_string(), attempt });
                     }
                 }
             }
             Purpose::Finish(id) => match result {
                 CommitResult::Done => {
                     info!("job {id} is done");
-                    self.on_over(now, &id);
+                    self.on_over(&id);
                 }
                 // The job's key has changed: cancelled, or an earlier try was carried out. The
                 // watch says which; until then nothing of it is started, as all is done.
--- a/src/core/miser.rs
+++ b/src/core/miser.rs
@@ -135,6 +135,10 @@
     put: std::collections::BTreeMap<u32, (u32, f64)>,
     waiting: Waiting,
     rank: f64,
+    /// Where the job's last task went, with the cheapest cost then open to it. Its next task, being
+    /// alike, goes there too while there is room and the budget allows: what has filled up
+    /// meanwhile only leaves fewer places to compare with.
+    last: Option<(usize, f64)>,
 }
 
 /// Whether all that a view refers to is in it; one from a peer may be anything.
@@ -296,6 +300,7 @@
             put: Default::default(),
             waiting: Waiting { job: j.key, ..Default::default() },
             rank,
+            last: None,
         }
     }
 
@@ -361,20 +366,26 @@
         Some(Choice { finish_s, start_s, cost, reliability, spot: pl.spot })
     }
 
-    fn zone_open(a: &Active, zone: u32) -> bool {
-        zone_allowed(a.job.spread, a.job.one_zone, a.job.tasks, &a.zones, zone)
+    fn open_to(&self, a: &Active, i: usize) -> bool {
+        let pl = &self.places[i];
+        pl.fits(a.job) && zone_allowed(a.job.spread, a.job.one_zone, a.job.tasks, &a.zones, pl.zone)
     }
 
     /// The place of the highest quality for the job's next task (paper, lines 10-16).
-    fn best(&self, a: &Active) -> Option<usize> {
-        let open = |i: usize| {
-            let pl = &self.places[i];
-            pl.fits(a.job) && Self::zone_open(a, pl.zone)
-        };
+    fn best(&self, a: &mut Active) -> Option<usize> {
+        if let Some((i, cheapest)) = a.last
+            && let Some(c) = &a.choices[i]
+            && self.open_to(a, i)
+            && c.cost <= cheapest + a.spare + EPS
+        {
+            return Some(i);
+        }
+        let open: Vec<usize> =
+            (0..self.places.len()).filter(|i| a.choices[*i].is_some() && self.open_to(a, *i)).collect();
+        let all = || open.iter().filter_map(|i| a.choices[*i].as_ref().map(|c| (*i, c)));
         let mut lo: Option<Choice> = None;
         let mut hi: Option<Choice> = None;
-        let all = || a.choices.iter().enumerate().filter_map(|(i, c)| c.as_ref().map(|c| (i, c)));
-        for (_, c) in all().filter(|(i, _)| open(*i)) {
+        for (_, c) in all() {
             let l = lo.get_or_insert(*c);
             l.finish_s = l.finish_s.min(c.finish_s);
             l.cost = l.cost.min(c.cost);
@@ -385,7 +396,7 @@
         let (lo, hi) = (lo?, hi?);
         let mut accepted: Option<(f64, usize)> = None;
         let mut any: Option<(f64, usize)> = None;
-        for (i, c) in all().filter(|(i, _)| open(*i)) {
+        for (i, c) in all() {
             let q = quality(c, &lo, &hi);
             if any.is_none_or(|(b, _)| q > b + EPS) {
                 any = Some((q, i));
@@ -396,6 +407,7 @@
                 accepted = Some((q, i));
             }
         }
+        a.last = accepted.map(|(_, i)| (i, lo.cost));
         accepted.or(any).map(|(_, i)| i)
     }
 
@@ -423,6 +435,7 @@
         }
         if chosen.len() < n as usize {
             // All of a gang or none: room that was taken for the rest is given back.
+            a.last = None;
             for i in chosen {
                 self.places[i].give_back(a.job);
                 if self.places[i].offer.is_some() && self.places[i].load <= EPS {
--- a/src/core/sim.rs
+++ b/src/core/sim.rs
@@ -715,7 +715,7 @@
                 };
                 match value {
                     Some((v, stamp)) => l.on_live(&id, &v, Stamp(stamp)),
-                    None => l.on_over(now, &id),
+                    None => l.on_over(&id),
                 }
             }
             _ => {}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,15 +1,8 @@
 //! wallstile: a cluster scheduler.
 
-mod config;
-mod core;
-mod ids;
-mod net;
-mod peer;
-mod time;
-mod wire;
-
 use clap::{Parser, Subcommand};
 use std::process::ExitCode;
+use wallstile::{config, net};
 
 #[derive(Parser)]
 #[command(version, about = "A cluster scheduler. Runs one controller until it is killed.")]
--- a/src/net/leading.rs
+++ b/src/net/leading.rs
@@ -5,7 +5,7 @@
 use super::state::{StateError, commit_result};
 use crate::core::fleet::FLEET;
 use crate::core::jobs::{BITS, LIVE};
-use crate::core::leader::{Action, Leader, OrdersResult, Stored};
+use crate::core::leader::{Action, Leader, OrdersResult, Stored, TICK};
 use crate::core::leadership::should_hand_over;
 use crate::core::shares::SHARES_KEY;
 use crate::ids::{JobId, Stamp, Term};
@@ -18,7 +18,6 @@
 use std::sync::Arc;
 
 pub const KINDS_KEY: &str = "ctl/kinds";
-const TICK: Span = Span(50);
 
 /// Keeps the machine kinds known: from the state service, or (the leader) from the cloud.
 pub async fn learn_types(node: Arc<Node>) {
@@ -186,7 +185,6 @@
         if !matches!(log, Err(StateError::Unknown(_))) {
             node.heard_state(&log);
         }
-        let now = node.now();
         match log {
             Ok(Some(log)) => {
                 since = since.max(log.epoch);
@@ -200,7 +198,7 @@
                     let Some(id) = key.strip_prefix(LIVE).and_then(JobId::parse) else { continue };
                     match value {
                         Some((value, stamp)) => l.on_live(&id, &value, Stamp(stamp)),
-                        None => l.on_over(now, &id),
+                        None => l.on_over(&id),
                     }
                 }
             }
@@ -208,7 +206,7 @@
                 Ok((rows, epoch)) => {
                     since = epoch;
                     if let Some(l) = &mut node.lock().leader {
-                        l.reload_live(now, rows, epoch);
+                        l.reload_live(rows, epoch);
                     }
                 }
                 Err(_) => tokio::time::sleep(Span(300).std()).await,
--- a/src/net/users.rs
+++ b/src/net/users.rs
@@ -200,11 +200,10 @@
         };
         match commit(node, &txn).await {
             Ok(Ok(_)) => {
-                let now = node.now();
                 let mut i = node.lock();
                 i.finals.put(&id, over);
                 if let Some(l) = &mut i.leader {
-                    l.on_over(now, &id);
+                    l.on_over(&id);
                 }
                 return Reply::over(&id, over);
             }
