--- a/src/config.rs
+++ b/src/config.rs
@@ -50,6 +50,13 @@
     pub class: String,
     #[serde(default)]
     pub within_s: f64,
+    /// Of an aim on deadlines: how many times the job's deadline.
+    #[serde(default = "one")]
+    pub times: f64,
+}
+
+fn one() -> f64 {
+    1.0
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -168,10 +175,22 @@
 }
 
 impl Settings {
-    /// The next aim on finishing that a job of this age can still meet.
-    pub fn finish_aim(&self, class: &str, age_s: f64) -> Option<f64> {
-        let of = |o: &&Objective| o.kind == "finished" && o.class == class && o.within_s > age_s;
-        self.cluster.objectives.iter().filter(of).map(|o| o.within_s).reduce(f64::min)
+    /// When a job should end, in seconds since its submission, by the first of its class's aims
+    /// that it can still meet, and how many it has missed.
+    pub fn goal(&self, class: &str, deadline_s: Option<f64>, age_s: f64, run_s: f64) -> (Option<f64>, u32) {
+        let of = |o: &Objective| match o.kind.as_str() {
+            "finished" => Some(o.within_s),
+            // An aim on starting is one on finishing, a run later.
+            "wait" => Some(o.within_s + run_s),
+            "deadline" => deadline_s.map(|d| d * o.times),
+            _ => None,
+        };
+        let mut goals: Vec<f64> =
+            self.cluster.objectives.iter().filter(|o| o.class == class).filter_map(of).chain(deadline_s).collect();
+        goals.sort_by(f64::total_cmp);
+        goals.dedup();
+        let missed = goals.iter().filter(|g| **g < age_s + run_s).count();
+        (goals.get(missed).copied(), missed as u32)
     }
 }
 
@@ -198,6 +217,8 @@
     pub round_ms: f64,
     /// Requests of users under way at once; more get 503.
     pub user_requests: f64,
+    /// A gang that has waited this long has room gathered for it.
+    pub gather_s: f64,
 }
 
 impl Default for Tuning {
@@ -214,6 +235,7 @@
             batch_max: 1024.0,
             round_ms: 150.0,
             user_requests: 64.0,
+            gather_s: 90.0,
         }
     }
 }
@@ -233,6 +255,7 @@
             "batch-max" => (&mut self.batch_max, 1.0, 100_000.0),
             "round-ms" => (&mut self.round_ms, 10.0, 60_000.0),
             "user-requests" => (&mut self.user_requests, 1.0, 10_000.0),
+            "gather-s" => (&mut self.gather_s, 0.0, 86_400.0),
             _ => return None,
         })
     }
--- a/src/core/leader/room.rs
+++ b/src/core/leader/room.rs
@@ -30,11 +30,13 @@
             if aim.is_some_and(|aim| w.ready_s > 0.0 && view.age_s + w.ready_s <= aim) {
                 continue;
             }
-            for n in 0..w.count.min(64) {
-                if !self.make_room(now, id, view) {
-                    if view.gang && n > 0 {
-                        self.reservations.retain(|r| r.job != *id);
-                    }
+            if view.gang {
+                // All of it or nothing: work is stopped only where that is enough.
+                self.gather_for(now, id, &mut BTreeSet::new(), false);
+                continue;
+            }
+            for _ in 0..w.count.min(64) {
+                if !self.make_room(now, id, false) {
                     break;
                 }
             }
@@ -123,14 +125,17 @@
                 done.insert(job);
                 continue;
             };
-            let machines: Vec<MachineId> =
+            let mut machines: Vec<MachineId> =
                 self.reservations.iter().filter(|r| r.job == job).map(|r| r.machine.clone()).collect();
             if j.spec.kind == Kind::Gang {
                 let tasks = j.spec.tasks;
+                machines.truncate(tasks as usize);
                 let idle = j.gang.is_none() && j.placed.is_empty() && j.ready.len() as u32 == tasks;
-                if !idle || machines.len() as u32 != tasks {
+                if !idle {
                     done.insert(job);
-                } else if machines.iter().all(|m| self.may_place(now, &job, m, f64::from(tasks))) {
+                } else if machines.len() as u32 == tasks
+                    && machines.iter().all(|m| self.may_place(now, &job, m, f64::from(tasks)))
+                {
                     let parts: Vec<(MachineId, u32)> = machines.into_iter().map(|m| (m, 1)).collect();
                     self.start_gang(now, &job, &parts);
                     done.insert(job);
@@ -154,24 +159,25 @@
         self.reservations.retain(|r| !done.contains(&r.job));
     }
 
-    /// Stops work of lower priority where that makes room for one task. False: nowhere.
-    pub(super) fn make_room(&mut self, now: Mono, id: &JobId, view: &JobView) -> bool {
+    /// Stops work of lower priority where that makes room for one task, if need be only where its
+    /// image is. False: nowhere.
+    pub(super) fn make_room(&mut self, now: Mono, id: &JobId, with_image: bool) -> bool {
         let Some(j) = self.jobs.get(id) else { return false };
-        let need = Amount::of_task(&j.spec);
+        let spec = &j.spec;
+        let need = Amount::of_task(spec);
+        let priority = priority_number(spec.priority);
+        let image = self.images.get(&spec.image).copied().unwrap_or(u32::MAX);
         // What is placed, and what room is being made for.
-        let mut placed = view.placed.clone();
+        let mut placed = zone_counts(j, &self.machines);
         let coming = self.reservations.iter().filter(|r| r.job == *id).filter_map(|r| self.machines.get(&r.machine));
         placed.extend(coming.map(|m| ZoneCount { zone: m.zone, count: 1 }));
-        let quiet = self.quiet();
         let mut best: Option<(f64, MachineId, Vec<SlotKey>)> = None;
         for (mid, m) in &self.machines {
             let t = &self.types[m.kind];
-            if !m.usable(now, quiet)
-                || !jobs::type_allows(&j.spec, t)
-                || view.zone.is_some_and(|z| z != m.zone)
-                || (m.spot && !view.spot)
-                || !miser::zone_allowed(view.spread, view.one_zone, view.tasks, &placed, m.zone)
-                || j.error_machines.contains(mid)
+            let fetched = m.image_ready(image, now) == Some(0.0);
+            if (with_image && !fetched)
+                || !self.suits(now, j, mid, m)
+                || !miser::zone_allowed(spec.spread, spec.one_zone, spec.tasks, &placed, m.zone)
             {
                 continue;
             }
@@ -187,7 +193,7 @@
             let mut victims: Vec<(&SlotKey, &Slot)> = m
                 .slots
                 .iter()
-                .filter(|(_, s)| !s.exited() && s.stop.is_none() && priority_number(s.priority) > view.priority)
+                .filter(|(_, s)| !s.exited() && s.stop.is_none() && priority_number(s.priority) > priority)
                 .collect();
             victims.sort_by_key(|(_, s)| {
                 let ran = s.running_since.map_or(0, |t| (now - t).0);
@@ -206,10 +212,10 @@
             if !free.holds(&need) {
                 continue;
             }
-            if m.image_ready(view.image, now).is_none() {
-                lost += 20.0 * view.image_gb / t.fetch_gb_per_s.max(0.01);
+            if m.image_ready(image, now).is_none() {
+                lost += 20.0 * spec.image_gb / t.fetch_gb_per_s.max(0.01);
             }
-            if view.service && t.gpus > 0.0 && need.gpus <= 0.0 {
+            if spec.kind == Kind::Service && t.gpus > 0.0 && need.gpus <= 0.0 {
                 lost += 1e6;
             }
             if best.as_ref().is_none_or(|(b, _, _)| lost < *b) {
@@ -226,4 +232,124 @@
         self.reservations.push(Reservation { machine: mid, job: id.clone(), need, until: now + RESERVED_FOR });
         true
     }
+
+    /// Whether a job's tasks may be on the machine, room and the job's other tasks aside.
+    fn suits(&self, now: Mono, j: &Job, id: &MachineId, m: &Machine) -> bool {
+        let s = &j.spec;
+        m.usable(now, self.quiet())
+            && jobs::type_allows(s, &self.types[m.kind])
+            && s.zone.as_ref().is_none_or(|z| *z == self.zones[m.zone as usize])
+            && (s.spot || !m.spot)
+            && !j.error_machines.contains(id)
+    }
+
+    /// Gathers room for gangs that have waited long: smaller work would take every machine that
+    /// becomes free, and the largest gangs would never begin. Free machines are held, one gang at
+    /// a time in a zone and the oldest first; once they suffice together with what can be had by
+    /// stopping work of lower priority, that work is stopped.
+    pub(super) fn gather(&mut self, now: Mono, wall: Wall) {
+        let waits = |j: &Job| {
+            j.spec.kind == Kind::Gang
+                && j.spec.tasks as usize == j.ready.len()
+                && j.placed.is_empty()
+                && j.gang.is_none()
+                && j.pause_until <= now
+                && !j.at_fault()
+                && wall_age(wall, j.submitted) >= self.tuning.gather_s
+        };
+        let mut waiting: Vec<(Priority, Wall, JobId)> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| waits(j))
+            .map(|(id, j)| (j.spec.priority, j.submitted, id.clone()))
+            .collect();
+        if waiting.is_empty() {
+            return;
+        }
+        waiting.sort();
+        let mut taken: BTreeSet<u32> = BTreeSet::new();
+        for (_, _, id) in waiting {
+            if taken.len() >= self.zones.len() {
+                break;
+            }
+            self.gather_for(now, &id, &mut taken, true);
+        }
+    }
+
+    /// Finds room for a gang in a zone that isn't taken; `hold` keeps what there is although it
+    /// doesn't suffice yet.
+    fn gather_for(&mut self, now: Mono, id: &JobId, taken: &mut BTreeSet<u32>, hold: bool) {
+        let Some(j) = self.jobs.get(id) else { return };
+        let (tasks, need) = (j.spec.tasks, Amount::of_task(&j.spec));
+        if !self.quota_holds(j.team, &need, f64::from(tasks)) {
+            return;
+        }
+        let Some(j) = self.jobs.get(id) else { return };
+        let held_in = self.reservations.iter().find(|r| r.job == *id).and_then(|r| self.machines.get(&r.machine));
+        let held_in = held_in.map(|m| m.zone);
+        // By zone: what is free for it now, what could be made so, and what its machines could
+        // hold at the most. A gang that may be anywhere counts all zones as one.
+        #[derive(Default)]
+        struct Zone {
+            free: Vec<(MachineId, u32)>,
+            soon: u32,
+            most: u32,
+        }
+        let priority = priority_number(j.spec.priority);
+        let mut zones: BTreeMap<u32, Zone> = BTreeMap::new();
+        for (mid, m) in self.machines.iter().filter(|(mid, m)| self.suits(now, j, mid, m)) {
+            if taken.contains(&m.zone) {
+                continue;
+            }
+            let t = &self.types[m.kind];
+            let mut free = m.free(t);
+            self.reserved(mid).filter(|r| r.job != *id).for_each(|r| free.sub(&r.need));
+            let mut soon = free;
+            for s in m.slots.values().filter(|s| !s.exited()) {
+                if s.stop.is_some() || priority_number(s.priority) > priority {
+                    soon.add(&s.need);
+                }
+            }
+            let z = zones.entry(if j.spec.one_zone { m.zone } else { u32::MAX }).or_default();
+            let fit = |a: &Amount| times_in(a, &need);
+            if fit(&free) > 0 {
+                z.free.push((mid.clone(), fit(&free)));
+            }
+            z.soon += fit(&soon);
+            z.most += fit(&Amount::of_type(t));
+        }
+        let free = |z: &Zone| z.free.iter().map(|(_, n)| n).sum::<u32>();
+        let best = zones
+            .into_iter()
+            .filter(|(_, z)| z.most >= tasks)
+            .max_by_key(|(zone, z)| (held_in == Some(*zone), z.soon.min(tasks), free(z)));
+        let Some((zone, z)) = best.filter(|(_, z)| hold || z.soon >= tasks) else { return };
+        if zone == u32::MAX {
+            taken.extend(0..self.zones.len() as u32);
+        } else {
+            taken.insert(zone);
+        }
+        self.reservations.retain(|r| r.job != *id);
+        let until = now + RESERVED_FOR;
+        let mut left = tasks;
+        for (machine, n) in z.free {
+            for _ in 0..n.min(left) {
+                self.reservations.push(Reservation { machine: machine.clone(), job: id.clone(), need, until });
+                left -= 1;
+            }
+        }
+        if left > 0 && z.soon >= tasks {
+            debug!("room gathered for {id}: tasks={tasks} free={}", tasks - left);
+            while left > 0 && self.make_room(now, id, false) {
+                left -= 1;
+            }
+        }
+    }
+}
+
+/// How many times a need fits into room.
+fn times_in(room: &Amount, need: &Amount) -> u32 {
+    let part = |room: f64, need: f64| if need > 0.0 { (room + 1e-6) / need } else { f64::INFINITY };
+    let n = part(room.cpus, need.cpus).min(part(room.gpus, need.gpus)).min(part(room.memory_gb, need.memory_gb));
+    n.clamp(0.0, 1e6) as u32
 }
--- a/src/core/leader/rounds.rs
+++ b/src/core/leader/rounds.rs
@@ -220,6 +220,7 @@
             // An aim on starting that can still be met is a deadline too.
             let aim = self.settings.start_aim(&j.spec.class, guaranteed.contains(id));
             let aim = aim.filter(|a| *a > age).map(|a| a - age + run_s);
+            let (goal, missed) = self.settings.goal(&j.spec.class, j.spec.deadline_s, age, run_s);
             let due_s = j.spec.deadline_s.map(|d| d - age).into_iter().chain(aim).reduce(f64::min);
             let base = JobView {
                 team: j.team,
@@ -256,10 +257,8 @@
                 new_spot: j.spec.spot && !j.no_new_spot,
                 run_s,
                 due_s,
-                goal_s: {
-                    let aim = j.spec.deadline_s.or_else(|| self.settings.finish_aim(&j.spec.class, age));
-                    aim.map(|d| d - age)
-                },
+                goal_s: goal.map(|g| g - age),
+                missed: if j.spec.kind == Kind::Service { 0 } else { missed },
                 service: j.spec.kind == Kind::Service,
                 age_s: age,
                 overspent: j.overspent,
@@ -371,12 +370,19 @@
                 gangs.entry(p.job).or_default().push((machine.clone(), p.count));
                 continue;
             }
+            let mut count = p.count as usize;
+            if self.starts_late(now, job, machine, input.jobs.get(p.job as usize)) {
+                while count > 0 && self.make_room(now, job, true) {
+                    count -= 1;
+                }
+            }
+            let Some(j) = self.jobs.get(job) else { continue };
             let from = if *reclaimed { &j.reclaimed } else { &j.ready };
             let picked: Vec<u32> = from
                 .iter()
                 .filter(|i| *reclaimed || !j.reclaimed.contains(i))
                 .filter(|i| j.ready.contains(i))
-                .take(p.count as usize)
+                .take(count)
                 .copied()
                 .collect();
             for index in picked {
@@ -399,6 +405,17 @@
         self.flush_orders();
     }
 
+    /// Whether urgent work would miss its aim on starting on this machine, as the image has to be
+    /// fetched first, and could meet it elsewhere: then room is made where the image is.
+    fn starts_late(&self, now: Mono, job: &JobId, machine: &MachineId, view: Option<&JobView>) -> bool {
+        let (Some(j), Some(m), Some(v)) = (self.jobs.get(job), self.machines.get(machine), view) else { return false };
+        let image = self.images.get(&j.spec.image).copied().unwrap_or(u32::MAX);
+        let fetch_s =
+            m.image_ready(image, now).unwrap_or(j.spec.image_gb / self.types[m.kind].fetch_gb_per_s.max(0.01));
+        let aim = self.settings.start_aim(&j.spec.class, v.guaranteed);
+        j.spec.priority <= Priority::High && aim.is_some_and(|aim| v.age_s < aim && v.age_s + fetch_s > aim)
+    }
+
     pub(super) fn next_attempt(&mut self) -> Attempt {
         self.attempts += 1;
         Attempt::new(self.term, self.attempts)
--- a/src/core/miser.rs
+++ b/src/core/miser.rs
@@ -5,6 +5,8 @@
 use crate::peer::{JobView, Placement, PlanInput, PlanOutput, VERSION, Waiting, Wish, ZoneCount};
 
 const EPS: f64 = 1e-6;
+/// How many times a batch a round looks ahead to machines that aren't up yet.
+const OUTLOOK: u32 = 8;
 /// Priorities up to this one (prod, high) are not stopped for GPU jobs.
 const URGENT: u32 = 1;
 
@@ -164,18 +166,19 @@
     }
     let mut p = Planner::new(input);
     let mut out = PlanOutput { version: VERSION, term: input.term, round: input.round, ..Default::default() };
-    let mut budget = input.batch;
-    // Jobs of higher priority go first, and within one priority what a guarantee covers (ours).
-    let mut classes: Vec<(u32, bool)> = input.jobs.iter().map(|j| (j.priority, !j.guaranteed)).collect();
+    // What only waits for machines to come up starts nothing, but says how many are wanted: a limit
+    // of its own, or a long queue's demand would be seen a batch at a time.
+    let (mut budget, mut outlook) = (input.batch, input.batch.saturating_mul(OUTLOOK));
+    // Jobs of higher priority go first, within one priority what a guarantee covers, and of that
+    // what can still meet the most of its aims: under overload the rest would only make it late
+    // as well (ours).
+    let class_of = |j: &JobView| (j.priority, !j.guaranteed, j.missed);
+    let mut classes: Vec<(u32, bool, u32)> = input.jobs.iter().map(class_of).collect();
     classes.sort_unstable();
     classes.dedup();
     for class in classes {
-        let mut active: Vec<Active> = input
-            .jobs
-            .iter()
-            .filter(|j| (j.priority, !j.guaranteed) == class && j.ready > 0)
-            .map(|j| p.activate(j))
-            .collect();
+        let mut active: Vec<Active> =
+            input.jobs.iter().filter(|j| class_of(j) == class && j.ready > 0).map(|j| p.activate(j)).collect();
         // Round-robin over the jobs (paper, lines 7-9). The tasks of a job are alike here, so its
         // top task by rank (eq. 1) is any. Which job begins is open in the paper: the one with the
         // least time left of those that can still make it, then the late ones by age (ours).
@@ -184,16 +187,20 @@
         while going {
             going = false;
             for a in active.iter_mut().filter(|a| a.left > 0) {
-                if budget == 0 {
+                if budget == 0 || outlook == 0 {
                     break;
                 }
-                if p.place_next(a) {
-                    budget = budget.saturating_sub(if a.job.gang { a.job.tasks } else { 1 });
-                    going = true;
-                } else {
-                    a.waiting.count += a.left;
-                    a.left = 0;
+                let n = if a.job.gang { a.job.tasks } else { 1 };
+                match p.place_next(a) {
+                    Some(true) => budget = budget.saturating_sub(n),
+                    Some(false) => outlook = outlook.saturating_sub(n),
+                    None => {
+                        a.waiting.count += a.left;
+                        a.left = 0;
+                        continue;
+                    }
                 }
+                going = true;
             }
         }
         for a in active {
@@ -411,45 +418,34 @@
         accepted.or(any).map(|(_, i)| i)
     }
 
-    /// Places the job's next task, or the whole gang. False: nothing is open to it.
-    fn place_next(&mut self, a: &mut Active) -> bool {
+    /// Places the job's next task, or the whole gang: on machines that are up (true) or not all
+    /// (false). None: nothing is open to it.
+    fn place_next(&mut self, a: &mut Active) -> Option<bool> {
         let n = if a.job.gang { a.left } else { 1 };
         let left = self.cpus_left.get(&a.job.team).copied().unwrap_or((f64::INFINITY, f64::INFINITY));
         if a.job.cpus * n as f64 > left.0 + EPS || a.job.gpus * n as f64 > left.1 + EPS {
-            return false;
-        }
-        let mut chosen = Vec::new();
-        for _ in 0..n {
-            // Offers opened since the job was looked at.
-            for i in a.choices.len()..self.places.len() {
-                a.choices.push(self.choice(a.job, i));
-            }
-            let Some(i) = self.best(a) else { break };
-            self.places[i].take(a.job);
-            bump(&mut a.zones, self.places[i].zone, 1);
-            chosen.push(i);
-            if let (Some(o), false) = (self.places[i].offer, self.places[i].opened) {
-                self.places[i].opened = true;
-                self.open(o);
-            }
+            return None;
         }
-        if chosen.len() < n as usize {
-            // All of a gang or none: room that was taken for the rest is given back.
-            a.last = None;
-            for i in chosen {
-                self.places[i].give_back(a.job);
-                if self.places[i].offer.is_some() && self.places[i].load <= EPS {
-                    self.places[i].opened = false;
+        let mut chosen = self.choose(a, n);
+        if chosen.is_none() && a.job.gang && a.job.one_zone {
+            // The best place of all may be in a zone that can't hold the gang: then the others.
+            let mut zones: Vec<u32> = self.places.iter().map(|p| p.zone).collect();
+            zones.sort_unstable();
+            zones.dedup();
+            for zone in zones {
+                a.zones = vec![ZoneCount { zone, count: 1 }];
+                chosen = self.choose(a, n);
+                if chosen.is_some() {
+                    break;
                 }
             }
-            a.zones = a.job.placed.clone();
-            return false;
         }
+        let chosen = chosen?;
         if let Some(l) = self.cpus_left.get_mut(&a.job.team) {
             l.0 -= a.job.cpus * n as f64;
             l.1 -= a.job.gpus * n as f64;
         }
-        let all_up = chosen.iter().all(|i| self.places[*i].up);
+        let all_up = chosen.iter().all(|i| self.places[*i].up && self.places[*i].machine.is_some());
         for i in chosen {
             let t = &self.input.types[self.places[i].kind];
             let pl = &mut self.places[i];
@@ -483,7 +479,39 @@
             }
         }
         a.left -= n;
-        true
+        Some(all_up)
+    }
+
+    /// Takes room for `n` tasks, all or none.
+    fn choose(&mut self, a: &mut Active, n: u32) -> Option<Vec<usize>> {
+        let mut chosen = Vec::new();
+        for _ in 0..n {
+            // Offers opened since the job was looked at.
+            for i in a.choices.len()..self.places.len() {
+                a.choices.push(self.choice(a.job, i));
+            }
+            let Some(i) = self.best(a) else { break };
+            self.places[i].take(a.job);
+            bump(&mut a.zones, self.places[i].zone, 1);
+            chosen.push(i);
+            if let (Some(o), false) = (self.places[i].offer, self.places[i].opened) {
+                self.places[i].opened = true;
+                self.open(o);
+            }
+        }
+        if chosen.len() == n as usize {
+            return Some(chosen);
+        }
+        // Room that was taken for the rest is given back.
+        a.last = None;
+        for i in chosen {
+            self.places[i].give_back(a.job);
+            if self.places[i].offer.is_some() && self.places[i].load <= EPS {
+                self.places[i].opened = false;
+            }
+        }
+        a.zones = a.job.placed.clone();
+        None
     }
 }
 
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -191,6 +191,9 @@
     /// May cause rentals in this round.
     #[prost(bool, tag = "25")]
     pub may_rent: bool,
+    /// How many of its class's aims it can't meet any more.
+    #[prost(uint32, tag = "28")]
+    pub missed: u32,
 }
 
 #[derive(Clone, PartialEq, Message)]
