Late copies of reports, machines that answers don't reach, controllers with only their workers

Only a report newer than the last report is a sign of life; a machine without a record that lists tasks is a copy; a machine is used once it has confirmed this leader's baton, isn't answered any more when it hasn't for a lease, and goes back. A controller that hears neither state service nor peers is unhealthy, says 503 at once and names no leader. The model plays deaf machines, copies and machines back at once. Attempt numbers get 30 bits.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -109,7 +109,17 @@
     pub commission: Commission,
     pub shift: Shift,
     pub tally: Tally,
+    /// The latest *report*; orders' answers count their tallies on as well, but are no reports.
+    pub reported: (Shift, Tally),
+    /// When the last report that was answered came in. A copy of an earlier one is no sign of life.
     pub last_report: Mono,
+    /// Its session has ended by the ledger's own count: what comes of it later is stale.
+    pub ended: bool,
+    /// It has reported under this leader's baton, so answers reach it.
+    pub confirmed: bool,
+    /// Since when it has been answered without reporting the baton that it was told. Its reports
+    /// arrive, but nothing may reach it.
+    pub deaf_since: Option<Mono>,
     /// Everything possibly on it is in `slots`: it has reported under this leader's baton, or
     /// never had an order, or is proven empty.
     pub accounted: bool,
@@ -146,7 +156,11 @@
             commission: Commission::No,
             shift: Shift(0),
             tally: Tally(0),
+            reported: (Shift(0), Tally(0)),
             last_report: now,
+            ended: false,
+            confirmed: false,
+            deaf_since: None,
             accounted: true,
             fence: 0,
             fencing: false,
@@ -193,6 +207,7 @@
     pub fn usable(&self, now: Mono, quiet: Span) -> bool {
         self.up
             && self.accounted
+            && self.confirmed
             && self.commission == Commission::Yes
             && !self.fencing
             && !self.notice
--- a/src/core/leader/machines.rs
+++ b/src/core/leader/machines.rs
@@ -51,16 +51,22 @@
                 m.accounted = true;
                 self.dirty = true;
             }
-            if !m.slots.is_empty() {
+            if !m.ended {
+                m.ended = true;
                 dead.push(id.clone());
             }
         }
         for id in dead {
             let Some(m) = self.machines.get_mut(&id) else { continue };
-            info!("machine {id} is silent past its lease, tasks={}", m.slots.len());
+            if !m.slots.is_empty() {
+                info!("machine {id} is silent past its lease, tasks={}", m.slots.len());
+            }
             // Messages of the ended session that come late mean nothing any more.
-            m.shift.0 += 1;
-            m.tally.0 = 0;
+            if m.shift.0 > 0 {
+                m.shift.0 += 1;
+                m.tally.0 = 0;
+                m.reported = (m.shift, m.tally);
+            }
             m.outbox.clear();
             let spot = m.spot;
             let keys: Vec<SlotKey> = m.slots.keys().cloned().collect();
@@ -78,6 +84,12 @@
         // Many silent at once: a cut, or a leader just come to office, rather than dead machines.
         let many = silent > 2 && silent * 3 > up;
         let silent_after = self.p.lease.times(if many { 3.0 } else { 0.55 });
+        // The same for machines that answers don't reach.
+        let deaf_after = self.p.lease;
+        let is_deaf = |m: &Machine| m.deaf_since.is_some_and(|t| now - t > deaf_after);
+        let deaf = self.machines.values().filter(|m| is_deaf(m)).count();
+        self.many_deaf = deaf > 2 && deaf * 3 > up;
+        let many_deaf = self.many_deaf;
         let mut returns: Vec<MachineId> = Vec::new();
         let mut idle: Vec<MachineId> = Vec::new();
         for (id, m) in &mut self.machines {
@@ -94,6 +106,9 @@
                 } else if m.commission == Commission::Yes && silent > silent_after && in_office > silent_after {
                     info!("machine {id} is silent for {:.1} s and goes back", silent.as_secs());
                     m.doomed = true;
+                } else if is_deaf(m) && !many_deaf {
+                    info!("machine {id} doesn't confirm what it is told and goes back");
+                    m.doomed = true;
                 } else if m.up && !busy && m.accounted && (m.notice || (m.errors >= 2 && m.sick_until > now)) {
                     m.doomed = true;
                 }
--- a/src/core/leader/mod.rs
+++ b/src/core/leader/mod.rs
@@ -141,6 +141,9 @@
     open_round: Option<Round>,
     reservations: Vec<Reservation>,
     move_at: Mono,
+    /// So many machines don't confirm what they are told that it is rather this controller that
+    /// is slow or cut off.
+    many_deaf: bool,
     /// When the machines were last looked through.
     looked_at: Mono,
     /// The last tick, and how far the ticks fall behind: a measure of the processor's load.
@@ -273,6 +276,7 @@
             open_round: None,
             reservations: Vec::new(),
             move_at: now,
+            many_deaf: false,
             looked_at: now,
             ticked_at: now,
             lag_ms: 0.0,
--- a/src/core/leader/workers.rs
+++ b/src/core/leader/workers.rs
@@ -10,6 +10,12 @@
             return None;
         }
         if !self.machines.contains_key(&id) {
+            if !r.lots.is_empty() {
+                // Machines are recorded before their first order and until their return is proven,
+                // so what lists tasks without a record is a late copy of one that is gone.
+                debug!("machine {id} has no record and lists tasks={}", r.lots.len());
+                return None;
+            }
             let Some((kind, zone)) = self.place_of(&r.kind, &r.zone) else {
                 warn!("machine {id} is of unknown kind {} or zone {}", r.kind, r.zone);
                 return None;
@@ -18,14 +24,24 @@
             self.machines.insert(id.clone(), Machine::new(r.endpoint.clone(), kind, zone, r.spot, now));
         }
         let quiet = self.quiet();
+        let deaf_after = self.p.lease;
         let m = self.machines.get_mut(&id)?;
+        if r.shift < m.shift || (r.shift, r.tally) <= m.reported {
+            // Of a session that has ended, or a copy: nobody waits for an answer to it, and it is
+            // no sign of life.
+            return None;
+        }
+        m.reported = (r.shift, r.tally);
+        m.ended = false;
         if now - m.last_report > quiet {
             m.slots.values_mut().for_each(|s| s.timed = false);
         }
         let newer = self.take_report(now, &id, r);
         let m = self.machines.get_mut(&id)?;
-        if r.shift < m.shift {
-            // Of a session that has ended; an answer would mean nothing.
+        if r.baton >= Baton::new(self.term, m.fence) {
+            m.deaf_since = None;
+        } else if now - *m.deaf_since.get_or_insert(now) > deaf_after && !self.many_deaf {
+            // Answers don't reach it. Without them its lease runs out, which proves it empty.
             return None;
         }
         // Even a report that other news has overtaken renews the lease by being answered.
@@ -132,8 +148,9 @@
             listed.insert(key);
         }
         let Some(m) = self.machines.get_mut(id) else { return false };
-        if !m.accounted && r.baton >= own {
+        if r.baton >= own && !(m.accounted && m.confirmed) {
             m.accounted = true;
+            m.confirmed = true;
             self.dirty = true;
         }
         // What is not listed is gone, if the worker has listed it before, has answered its order,
--- a/src/core/sim.rs
+++ b/src/core/sim.rs
@@ -39,6 +39,8 @@
     /// Executes and says nothing until then.
     hangs_until: u64,
     cut_until: u64,
+    /// Its reports arrive, but neither answers nor orders reach it.
+    deaf_until: u64,
     sick: bool,
     shift: u64,
     tally: u64,
@@ -142,6 +144,7 @@
             dead: false,
             hangs_until: 0,
             cut_until: 0,
+            deaf_until: 0,
             sick: false,
             shift: 1,
             tally: 0,
@@ -496,6 +499,12 @@
                     continue;
                 }
                 let delay = if cut { self.rng.random_range(3_000..20_000) } else { self.delay() };
+                if self.faults && self.chance(0.05) {
+                    // A copy, seconds to well over a lease later; nobody hears an answer to it.
+                    let late = self.rng.random_range(1_000..30_000);
+                    let copy = report.clone();
+                    self.post(late, Mail::Report { leader, worker: i, sent: 0, report: copy });
+                }
                 self.post(delay, Mail::Report { leader, worker: i, sent: now, report });
             }
         }
@@ -622,7 +631,7 @@
                 let Some(l) = &mut self.leader else { return };
                 let Some(answer) = l.on_report(now, &report) else { return };
                 let cut = self.now < self.workers[worker].cut_until;
-                if self.lost() || cut {
+                if self.lost() || cut || self.now < self.workers[worker].deaf_until {
                     return;
                 }
                 let delay = self.delay();
@@ -651,6 +660,10 @@
                 if w.dead || self.now < w.up_at {
                     return;
                 }
+                if self.now < w.deaf_until {
+                    self.post(2_000, Mail::OrdersResult { leader, ticket, result: OrdersResult::Unknown });
+                    return;
+                }
                 if self.now < w.hangs_until.max(w.cut_until) {
                     // Held back, and delivered after all.
                     let later = w.hangs_until.max(w.cut_until) - self.now + 10;
@@ -747,6 +760,19 @@
         if self.chance(0.01) {
             self.workers[i].cut_until = until;
         }
+        if self.chance(0.005) {
+            // At times for as long as the history lasts.
+            self.workers[i].deaf_until = if self.chance(0.3) { u64::MAX } else { until };
+        }
+        if self.chance(0.003) {
+            // Back at once, with a new session.
+            let w = &mut self.workers[i];
+            w.shift += 1;
+            w.began = self.now;
+            w.tasks.clear();
+            w.in_flight = None;
+            w.baton = 0;
+        }
         if self.chance(0.003) {
             self.workers[i].dead = true;
             self.workers[i].tasks.clear();
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -107,7 +107,7 @@
 );
 
 const FENCE_BITS: u32 = 14;
-const ATTEMPT_BITS: u32 = 22;
+const ATTEMPT_BITS: u32 = 30;
 
 impl Baton {
     pub fn new(term: Term, fence: u64) -> Baton {
--- a/src/net/election.rs
+++ b/src/net/election.rs
@@ -1,11 +1,12 @@
 //! Runs for office, keeps it, and gives it up in time.
 
 use super::leading;
-use super::node::Node;
+use super::node::{Inner, Node};
 use super::peers;
 use super::state::StateError;
 use crate::core::leadership::{FOUNDED_KEY, LEADER_KEY, LeaderRecord, Office};
 use crate::ids::Term;
+use crate::peer::HelloAnswer;
 use crate::time::Span;
 use crate::wire::{Change, Guard, Txn};
 use log::{info, warn};
@@ -71,7 +72,12 @@
 /// Whether a peer is served, which makes this controller the one to avoid.
 async fn ask_about_state(node: &Arc<Node>) {
     let answers = peers::ask_all(node, &peers::hello(node), Span(700)).await;
-    node.lock().peer_has_state = answers.iter().flatten().any(|a| a.state_ok);
+    heard_peers(&mut node.lock(), &answers);
+}
+
+fn heard_peers(i: &mut Inner, answers: &[Option<HelloAnswer>]) {
+    i.peer_has_state = answers.iter().flatten().any(|a| a.state_ok);
+    i.alone = !answers.is_empty() && answers.iter().all(Option::is_none);
 }
 
 async fn bid(node: &Arc<Node>) -> Option<Office> {
@@ -203,7 +209,7 @@
     let answers = peers::ask_all(node, &hello, Span(800)).await;
     let shortest = answers.iter().map(|a| a.as_ref().map_or(0, |a| a.promise_ms)).min().unwrap_or(0);
     let mut i = node.lock();
-    i.peer_has_state = answers.iter().flatten().any(|a| a.state_ok);
+    heard_peers(&mut i, &answers);
     if shortest > 0 {
         i.leadership.all_promised(asked_at, Span(shortest));
     }
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -38,7 +38,11 @@
     pub counts: HashMap<String, JobCount>,
     pub user_requests: usize,
     pub refused_since: Option<Mono>,
+    /// The state service hasn't answered at all since then, not even with a refusal.
+    pub state_silent_since: Option<Mono>,
     pub peer_has_state: bool,
+    /// No peer answered when last asked.
+    pub alone: bool,
     /// Machines that have reported here while another led, and when.
     pub strays: HashMap<String, Mono>,
     /// Machines that the leader has said it doesn't hear from.
@@ -88,6 +92,8 @@
     }
 }
 
+const SILENT_AFTER: Span = Span(1_500);
+
 impl Node {
     pub fn new(settings: Settings, tuning: Tuning) -> Arc<Node> {
         let cloud = CloudClient::new(settings.services.cloud.to_string(), settings.cluster.cloud.rps);
@@ -101,7 +107,9 @@
             counts: HashMap::new(),
             user_requests: 0,
             refused_since: None,
+            state_silent_since: None,
             peer_has_state: false,
+            alone: false,
             strays: HashMap::new(),
             silent: HashSet::new(),
             heir: None,
@@ -139,11 +147,24 @@
             Err(StateError::Refused | StateError::Unknown(_)) => {
                 i.leadership.state_refused();
                 i.refused_since.get_or_insert(now);
+                if matches!(r, Err(StateError::Unknown(_))) {
+                    i.state_silent_since.get_or_insert(now);
+                } else {
+                    i.state_silent_since = None;
+                }
             }
             _ => {
                 i.leadership.state_answered();
                 i.refused_since = None;
+                i.state_silent_since = None;
             }
         }
     }
+
+    /// Whether the state service has been silent for so long that asking it for a user would only
+    /// make the user wait; the election keeps asking.
+    pub fn state_is_silent(&self) -> bool {
+        let now = self.now();
+        self.lock().state_silent_since.is_some_and(|t| now - t > SILENT_AFTER)
+    }
 }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -95,8 +95,10 @@
             if term.is_none() {
                 i.note_stray(&r.machine, now);
             }
-            // A worker that the leader doesn't hear would only wait there in vain.
-            let steward = if i.silent.contains(&r.machine) { None } else { i.leader_name.clone() };
+            // A worker that the leader doesn't hear would only wait there in vain. And a name read
+            // longer ago than a lease lasts may send it round in circles.
+            let stale = i.refused_since.is_some_and(|t| now - t > node.settings.state_ttl());
+            let steward = if stale || i.silent.contains(&r.machine) { None } else { i.leader_name.clone() };
             (term, i.leader.is_some(), steward)
         };
         if let Some(term) = term {
--- a/src/net/users.rs
+++ b/src/net/users.rs
@@ -52,9 +52,21 @@
     Over(OverRecord),
 }
 
+/// Users wait 2 s for the answer to a poll.
+const LOOK_UP: Span = Span(1_400);
+
 /// What the state service holds of a job now. A job goes from live to over and never back, so
 /// reading in this order misses nothing.
 async fn look_up(node: &Node, id: &JobId) -> Result<Found, StateError> {
+    if node.state_is_silent() {
+        return Err(StateError::Unknown("silent for long".into()));
+    }
+    tokio::time::timeout(LOOK_UP.std(), read(node, id))
+        .await
+        .unwrap_or_else(|_| Err(StateError::Unknown("too slow".into())))
+}
+
+async fn read(node: &Node, id: &JobId) -> Result<Found, StateError> {
     let live = node.state.get(&node.http, &live_key(id)).await;
     node.heard_state(&live);
     if let Some(row) = live? {
@@ -147,6 +159,9 @@
 
 /// Commits; when the state service has too much to do, tries again for a short while only.
 async fn commit(node: &Node, txn: &Txn) -> Result<Result<u64, Vec<String>>, StateError> {
+    if node.state_is_silent() {
+        return Err(StateError::Refused);
+    }
     let mut tries = 0;
     loop {
         let r = node.state.commit(&node.http, txn).await;
@@ -220,6 +235,8 @@
     let now = node.now();
     let i = node.lock();
     // Refused alone, others serve users better; refused like all, nothing is gained by hiding.
-    let alone = i.refused_since.is_some_and(|t| now - t > Span(1_500)) && i.peer_has_state;
-    i.types.is_some() && !alone
+    let refused = i.refused_since.is_some_and(|t| now - t > Span(1_500)) && i.peer_has_state;
+    // So does one that hears neither the state service nor any peer.
+    let cut_off = i.state_silent_since.is_some_and(|t| now - t > Span(1_500)) && i.alone;
+    i.types.is_some() && !refused && !cut_off
 }
