Hold jobs of earlier leaders back in every way a task can start

Now the leader's own check of each start does it, and a job waits only for machines that could hold its tasks. Ruled out: late orders of the old leader (the term's baton was higher). The model now gathers after 4 s; without the guard it fails (ran_twice).

--- a/src/core/leader/mod.rs
+++ b/src/core/leader/mod.rs
@@ -141,6 +141,8 @@
     open_round: Option<Round>,
     reservations: Vec<Reservation>,
     move_at: Mono,
+    /// Some machine may not be accounted for yet.
+    dark: bool,
     /// So many machines don't confirm what they are told that it is rather this controller that
     /// is slow or cut off.
     many_deaf: bool,
@@ -276,6 +278,7 @@
             open_round: None,
             reservations: Vec::new(),
             move_at: now,
+            dark: false,
             many_deaf: false,
             looked_at: now,
             ticked_at: now,
@@ -362,6 +365,7 @@
             m.commission = Commission::Yes;
             // It may hold anything until it reports under this leader's baton.
             m.accounted = false;
+            self.dark = true;
             self.machines.insert(id, m);
         }
         if let Some(kept) = stored.shares.and_then(|v| serde_json::from_value(v).ok()) {
--- a/src/core/leader/room.rs
+++ b/src/core/leader/room.rs
@@ -255,6 +255,7 @@
                 && j.gang.is_none()
                 && j.pause_until <= now
                 && !j.at_fault()
+                && !self.held_back(j)
                 && wall_age(wall, j.submitted) >= self.tuning.gather_s
         };
         let mut waiting: Vec<(Priority, Wall, JobId)> = self
--- a/src/core/leader/rounds.rs
+++ b/src/core/leader/rounds.rs
@@ -88,10 +88,11 @@
         let mut machines = Vec::new();
         let mut machine_ids = Vec::new();
         self.usage = None;
-        let all_accounted = self.machines.values().all(|m| m.accounted);
-        let waits = |j: &&Job| !j.ready.is_empty() && j.pause_until <= now && !j.finishing;
+        self.dark = self.dark && self.machines.values().any(|m| !m.accounted);
+        let waits = |j: &Job| !j.ready.is_empty() && j.pause_until <= now && !j.finishing && !self.held_back(j);
+        let waiting: BTreeSet<JobId> = self.jobs.iter().filter(|(_, j)| waits(j)).map(|(id, _)| id.clone()).collect();
         // A machine without room for the least that anyone needs is no candidate.
-        let least = self.jobs.values().filter(waits).fold(None, |l: Option<Amount>, j| {
+        let least = waiting.iter().filter_map(|id| self.jobs.get(id)).fold(None, |l: Option<Amount>, j| {
             let n = Amount::of_task(&j.spec);
             Some(l.map_or(n, |l| Amount {
                 cpus: l.cpus.min(n.cpus),
@@ -195,9 +196,7 @@
         let mut jobs = Vec::new();
         let mut job_ids = Vec::new();
         for (id, j) in &self.jobs {
-            // A job from before this leader may have tasks on machines not accounted for.
-            let old = j.stamp.0 <= self.term.0;
-            if j.ready.is_empty() || j.pause_until > now || (old && !all_accounted) || j.finishing {
+            if !waiting.contains(id) {
                 continue;
             }
             if j.spec.kind == Kind::Gang && (j.gang.is_some() || !j.placed.is_empty()) {
@@ -421,6 +420,19 @@
         Attempt::new(self.term, self.attempts)
     }
 
+    /// A job from before this leader may have tasks on machines that aren't accounted for: nothing
+    /// of it starts, whoever has planned it, until all those that could hold its tasks are.
+    pub(super) fn held_back(&self, j: &Job) -> bool {
+        let s = &j.spec;
+        let could_hold = |m: &Machine| {
+            !m.accounted
+                && jobs::type_allows(s, &self.types[m.kind])
+                && s.zone.as_ref().is_none_or(|z| *z == self.zones[m.zone as usize])
+                && (s.spot || !m.spot)
+        };
+        self.dark && j.stamp.0 <= self.term.0 && self.machines.values().any(could_hold)
+    }
+
     /// The leader's own check of one start, whoever planned it.
     pub(super) fn may_place(&mut self, now: Mono, job: &JobId, machine: &MachineId, n: f64) -> bool {
         let mut kept = Amount::default();
@@ -435,6 +447,7 @@
         let placed = zone_counts(j, &self.machines);
         let team = j.team;
         m.usable(now, self.quiet())
+            && !self.held_back(j)
             && free.holds(&need)
             && jobs::type_allows(s, t)
             && s.zone.as_ref().is_none_or(|z| z == zone)
--- a/src/core/sim.rs
+++ b/src/core/sim.rs
@@ -238,7 +238,7 @@
         self.store.insert(LEADER_KEY.into(), (json!(self.leader_no), self.epoch));
         let mut l = Leader::new(
             self.settings.clone(),
-            Tuning { idle_s: 20.0, ..Tuning::default() },
+            Tuning { idle_s: 20.0, gather_s: 4.0, ..Tuning::default() },
             self.types.clone(),
             Term(self.epoch),
             Mono(self.now),
