Gather before each round; services on what GPU jobs leave; a test for each new point

Cause: the new test of gathering failed: a round between two looks gave away what had just become free, so holds lost the race for most machines. Services may now take what GPU jobs leave of a running GPU machine, if no other has room.

--- a/src/core/leader/machines.rs
+++ b/src/core/leader/machines.rs
@@ -13,7 +13,6 @@
             self.looked_at = now;
             self.expire(now);
             self.look_after_machines(now);
-            self.gather(now, wall);
         }
         self.write(now);
         // Rounds are the bulk of the work: where ticks come late, rounds come seldom, and each
--- a/src/core/leader/mod.rs
+++ b/src/core/leader/mod.rs
@@ -5,6 +5,8 @@
 mod machines;
 mod room;
 mod rounds;
+#[cfg(test)]
+mod tests;
 mod workers;
 mod writes;
 
--- a/src/core/leader/rounds.rs
+++ b/src/core/leader/rounds.rs
@@ -8,6 +8,8 @@
         self.round_at = now;
         self.dirty = false;
         self.rounds += 1;
+        // First, or the round would give away what has just become free.
+        self.gather(now, wall);
         let (input, jobs, machines) = self.view(now, wall);
         let mut missing: BTreeMap<String, Vec<u32>> = BTreeMap::new();
         let mut own = Vec::new();
--- /dev/null
+++ b/src/core/leader/tests.rs
@@ -0,0 +1,285 @@
+//! Single situations, played against a leader with workers that answer at once.
+
+use super::*;
+use crate::config::sample_settings;
+use crate::ids::{Shift, Tally};
+use crate::wire::JobSpec;
+use serde_json::json;
+
+struct Rig {
+    leader: Leader,
+    now: u64,
+    workers: BTreeMap<String, Report>,
+    /// Where answers and orders don't arrive.
+    deaf: BTreeSet<String>,
+    returned: BTreeSet<String>,
+    /// The cloud carries out no returns.
+    cloud_down: bool,
+}
+
+const TERM: Term = Term(100);
+
+fn kinds() -> Vec<MachineType> {
+    let t = |name: &str, gpus: f64| MachineType {
+        name: name.into(),
+        cpus: 8.0,
+        gpus,
+        memory_gb: 64.0,
+        cache_gb: 50.0,
+        fetch_gb_per_s: 1.0,
+        price: 1.0,
+        spot_price: 0.4,
+        boot_s: 10.0,
+        zones: vec!["a".into(), "b".into()],
+    };
+    vec![t("plain", 0.0), t("gpu", 2.0)]
+}
+
+fn spec(id: &str, kind: Kind, tasks: u32, cpus: f64) -> JobSpec {
+    JobSpec {
+        id: id.into(),
+        class: "any".into(),
+        team: "team-b".into(),
+        kind,
+        priority: Priority::High,
+        tasks,
+        cpus,
+        gpus: 0.0,
+        memory_gb: 1.0,
+        image: "img".into(),
+        image_gb: 1.0,
+        types: None,
+        zone: None,
+        one_zone: kind == Kind::Gang,
+        spread: false,
+        spot: false,
+        estimate_s: 20.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    }
+}
+
+fn record(i: usize) -> Row {
+    let r = FleetRecord { endpoint: format!("w{i}"), kind: "plain".into(), zone: "a".into(), spot: false };
+    Row { path: format!("fleet/m-{i:06}"), value: json!(r), stamp: 1 }
+}
+
+impl Rig {
+    /// A leader that has just taken office over machines that an earlier one has commissioned.
+    fn new(machines: usize) -> Rig {
+        let tuning = Tuning { gather_s: 30.0, ..Tuning::default() };
+        let mut leader = Leader::new(sample_settings(), tuning, kinds(), TERM, Mono(0));
+        leader.load(Mono(0), Stored { fleet: (0..machines).map(record).collect(), ..Stored::default() });
+        let workers = (0..machines).map(|i| (format!("w{i}"), Rig::fresh(i))).collect();
+        Rig { leader, now: 0, workers, deaf: BTreeSet::new(), returned: BTreeSet::new(), cloud_down: false }
+    }
+
+    fn fresh(i: usize) -> Report {
+        Report {
+            machine: format!("m-{i:06}"),
+            endpoint: format!("w{i}"),
+            kind: "plain".into(),
+            zone: "a".into(),
+            spot: false,
+            shift: Shift(1),
+            tally: Tally(0),
+            baton: Baton(0),
+            notice_s: None,
+            lots: Vec::new(),
+        }
+    }
+
+    fn submit(&mut self, stamp: u64, s: JobSpec) -> JobId {
+        let id = JobId::parse(&s.id).unwrap();
+        self.leader.on_live(&id, &json!(LiveRecord { at: Wall(self.now), spec: s }), Stamp(stamp));
+        id
+    }
+
+    fn execute(r: &mut Report, orders: &[Order]) {
+        for o in orders {
+            match o {
+                Order::Run { lot, attempt } => r.lots.push(LotReport {
+                    lot: lot.clone(),
+                    attempt: *attempt,
+                    phase: LotPhase::Running,
+                    cause: None,
+                    kept: None,
+                }),
+                Order::Stop { lot, attempt, .. } => Rig::end(r, lot, *attempt, Cause::Halted),
+                Order::Clear { lot, attempt } => r.lots.retain(|l| l.lot != *lot || l.attempt != *attempt),
+            }
+        }
+    }
+
+    fn end(r: &mut Report, lot: &str, attempt: Attempt, cause: Cause) {
+        for l in r.lots.iter_mut().filter(|l| l.lot == lot && l.attempt == attempt) {
+            (l.phase, l.cause) = (LotPhase::Exited, Some(cause));
+        }
+    }
+
+    fn report(&mut self, name: &str) -> bool {
+        let Some(r) = self.workers.get_mut(name) else { return false };
+        r.tally.0 += 1;
+        let answer = self.leader.on_report(Mono(self.now), r);
+        if let Some(a) = answer.as_ref().filter(|a| a.baton >= r.baton && !self.deaf.contains(name)) {
+            r.baton = a.baton;
+            Rig::execute(r, &a.orders);
+        }
+        answer.is_some()
+    }
+
+    fn run(&mut self, ms: u64) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.now += TICK.0;
+            self.leader.tick(Mono(self.now), Wall(self.now));
+            if self.now.is_multiple_of(500) {
+                for name in self.workers.keys().cloned().collect::<Vec<_>>() {
+                    self.report(&name);
+                }
+            }
+            for a in self.leader.take_actions() {
+                let now = Mono(self.now);
+                match a {
+                    Action::Orders { ticket, endpoint, body } => {
+                        let result = match self.workers.get_mut(&endpoint) {
+                            Some(r) if !self.deaf.contains(&endpoint) => {
+                                r.baton = r.baton.max(body.baton);
+                                Rig::execute(r, &body.orders);
+                                r.tally.0 += 1;
+                                OrdersResult::Executed(r.clone())
+                            }
+                            _ => OrdersResult::Unknown,
+                        };
+                        self.leader.on_orders_result(now, ticket, result);
+                    }
+                    Action::Commit { ticket, .. } => self.leader.on_committed(now, ticket, CommitResult::Done),
+                    Action::Rent(r) => self.leader.on_rented(now, &r.hire, RentResult::NoCapacity),
+                    Action::Return(ids) => {
+                        self.returned.extend(ids.iter().map(|i| i.to_string()));
+                        self.leader.on_returned(now, &ids, !self.cloud_down);
+                    }
+                    Action::Plan { .. } => {}
+                }
+            }
+        }
+    }
+
+    fn runs(&self, id: &JobId) -> usize {
+        let of = |l: &&LotReport| l.phase == LotPhase::Running && l.lot.starts_with(&*id.0);
+        self.workers.values().flat_map(|r| &r.lots).filter(of).count()
+    }
+}
+
+#[test]
+fn a_machine_that_answers_do_not_reach_holds_nothing_up_for_ever() {
+    let mut rig = Rig::new(4);
+    rig.cloud_down = true;
+    rig.deaf.insert("w0".into());
+    let old = rig.submit(50, spec("req-000001", Kind::Array, 2, 1.0));
+    rig.run(9_000);
+    assert_eq!(rig.runs(&old), 0, "w0 may still hold its tasks");
+    assert!(rig.report("w0"), "it may be slow to confirm");
+    rig.run(2_000);
+    assert!(!rig.report("w0"), "unanswered, it ends its session");
+    rig.run(12_000);
+    assert_eq!(rig.runs(&old), 2, "its lease has proven it empty");
+    assert!(rig.returned.contains("m-000000"), "and it goes back");
+    assert!(rig.workers["w0"].lots.is_empty(), "it got nothing more");
+}
+
+#[test]
+fn a_new_session_of_a_deaf_machine_proves_its_tasks_gone() {
+    let mut rig = Rig::new(2);
+    rig.run(2_000);
+    let id = rig.submit(200, spec("req-000001", Kind::Array, 2, 8.0));
+    rig.run(3_000);
+    assert_eq!(rig.runs(&id), 2);
+    rig.deaf.insert("w0".into());
+    // Its lease has run out, as the answers didn't reach it.
+    let w = rig.workers.get_mut("w0").unwrap();
+    (w.shift, w.tally) = (Shift(2), Tally(0));
+    w.lots.clear();
+    rig.report("w0");
+    assert_eq!(rig.leader.jobs[&id].ready.len(), 1, "to be started anew");
+}
+
+#[test]
+fn a_copy_of_a_report_is_no_sign_of_life() {
+    let mut rig = Rig::new(2);
+    rig.run(2_000);
+    let id = rig.submit(200, spec("req-000001", Kind::Array, 2, 8.0));
+    rig.run(3_000);
+    let copy = rig.workers.remove("w0").unwrap();
+    rig.cloud_down = true;
+    let job = |rig: &Rig| rig.leader.jobs[&id].placed.len();
+    for _ in 0..10 {
+        rig.run(1_000);
+        assert_eq!(rig.leader.on_report(Mono(rig.now), &copy), None);
+    }
+    assert_eq!(job(&rig), 2, "the lease may still run");
+    rig.run(1_500);
+    assert_eq!(job(&rig), 1, "silent past its lease, whatever copies came");
+    // After the ledger has ended the session, a copy with a later tally revives nothing either.
+    let mut later = copy;
+    later.tally.0 += 100;
+    assert_eq!(rig.leader.on_report(Mono(rig.now), &later), None);
+    assert_eq!(job(&rig), 1);
+}
+
+#[test]
+fn a_copy_does_not_bring_back_a_returned_machine_or_account_for_one() {
+    let mut rig = Rig::new(2);
+    let old = rig.submit(50, spec("req-000001", Kind::Array, 2, 1.0));
+    // Of a machine that an earlier leader has returned: it has no record any more.
+    let mut ghost = Rig::fresh(7);
+    ghost.tally = Tally(9);
+    let attempt = Attempt::new(Term(40), 1);
+    let lot = LotReport { lot: "req-000001/0".into(), attempt, phase: LotPhase::Running, cause: None, kept: None };
+    ghost.lots.push(lot);
+    assert_eq!(rig.leader.on_report(Mono(10), &ghost), None);
+    assert!(rig.leader.jobs[&old].placed.is_empty());
+    // A copy that reaches a new leader before the machine itself tells nothing of now.
+    let mut copy = Rig::fresh(0);
+    (copy.tally, copy.baton) = (Tally(3), Baton::new(Term(40), 0));
+    rig.workers.remove("w0");
+    rig.leader.on_report(Mono(20), &copy);
+    rig.run(5_000);
+    assert_eq!(rig.runs(&old), 0, "a copy accounts for nothing");
+    // An empty report of a ghost: nothing is ordered there until it has confirmed the baton.
+    rig.leader.on_report(Mono(rig.now), &Rig::fresh(8));
+    ghost = Rig::fresh(8);
+    ghost.tally = Tally(1);
+    rig.leader.on_report(Mono(rig.now), &ghost);
+    let id = MachineId::parse("m-000008").unwrap();
+    rig.run(1_000);
+    assert!(!rig.leader.machines[&id].usable(Mono(rig.now), Span(5_000)));
+}
+
+#[test]
+fn the_largest_gang_begins_although_smaller_work_keeps_coming() {
+    let mut rig = Rig::new(6);
+    rig.run(2_000);
+    let whole = |n: u32, tasks: u32| spec(&format!("req-{n:06}"), Kind::Gang, tasks, 8.0);
+    for n in 1..=8 {
+        rig.submit(200, whole(n, 1));
+    }
+    rig.run(1_000);
+    let large = rig.submit(200, whole(100, 6));
+    let mut began = None;
+    for n in 0..60 {
+        // Every 2 s another small gang comes, and the one that has run longest ends.
+        rig.submit(200, whole(200 + n, 1));
+        let oldest = rig.workers.values().flat_map(|r| &r.lots).filter(|l| l.phase == LotPhase::Running);
+        if let Some((lot, attempt)) = oldest.min_by_key(|l| l.attempt).map(|l| (l.lot.clone(), l.attempt)) {
+            rig.workers.values_mut().for_each(|r| Rig::end(r, &lot, attempt, Cause::Done));
+        }
+        rig.run(2_000);
+        if rig.runs(&large) == 6 {
+            began.get_or_insert(rig.now);
+            break;
+        }
+    }
+    assert!(began.is_some_and(|t| t < 60_000), "{began:?}");
+}
--- a/src/core/miser.rs
+++ b/src/core/miser.rs
@@ -141,6 +141,8 @@
     /// alike, goes there too while there is room and the budget allows: what has filled up
     /// meanwhile only leaves fewer places to compare with.
     last: Option<(usize, f64)>,
+    /// A service that keeps off GPU machines.
+    spares_gpus: bool,
 }
 
 /// Whether all that a view refers to is in it; one from a peer may be anything.
@@ -278,8 +280,18 @@
         });
     }
 
+    /// A service would keep a GPU machine up for good, so it is spared as long as others have room
+    /// (ours).
+    fn choice_for(&self, j: &JobView, i: usize, spare_gpus: bool) -> Option<Choice> {
+        let gpus = self.input.types[self.places[i].kind].gpus > EPS;
+        if spare_gpus && gpus && j.service && j.gpus <= EPS && j.types.is_empty() {
+            return None;
+        }
+        self.choice(j, i)
+    }
+
     fn activate(&self, j: &'a JobView) -> Active<'a> {
-        let choices: Vec<Option<Choice>> = (0..self.places.len()).map(|i| self.choice(j, i)).collect();
+        let choices: Vec<Option<Choice>> = (0..self.places.len()).map(|i| self.choice_for(j, i, true)).collect();
         let known = || choices.iter().flatten();
         let cheapest = known().map(|c| c.cost).fold(f64::INFINITY, f64::min);
         let dearest = known().map(|c| c.cost).fold(0.0, f64::max);
@@ -308,6 +320,7 @@
             waiting: Waiting { job: j.key, ..Default::default() },
             rank,
             last: None,
+            spares_gpus: true,
         }
     }
 
@@ -336,10 +349,6 @@
         if pl.offer.is_some() && t.gpus > EPS && j.gpus <= EPS && self.input.offers.iter().any(plain) {
             return None;
         }
-        // A service would keep a GPU machine up for good (ours); preemption may still put it there.
-        if j.service && t.gpus > EPS && j.gpus <= EPS && j.types.is_empty() {
-            return None;
-        }
         let ready_s = m.map_or(t.boot_s, |m| m.ready_s);
         let cached = m.and_then(|m| m.images.iter().find(|x| x.image == j.image));
         let fetch_s = match cached {
@@ -421,6 +430,12 @@
     /// Places the job's next task, or the whole gang: on machines that are up (true) or not all
     /// (false). None: nothing is open to it.
     fn place_next(&mut self, a: &mut Active) -> Option<bool> {
+        let plain = |i: usize| a.choices[i].is_some() && self.is_plain(i) && self.open_to(a, i);
+        if a.job.service && a.spares_gpus && !(0..a.choices.len()).any(plain) {
+            // Better on what GPU jobs leave of a running GPU machine than nowhere.
+            a.spares_gpus = false;
+            a.choices = (0..self.places.len()).map(|i| self.choice(a.job, i)).collect();
+        }
         let n = if a.job.gang { a.left } else { 1 };
         let left = self.cpus_left.get(&a.job.team).copied().unwrap_or((f64::INFINITY, f64::INFINITY));
         if a.job.cpus * n as f64 > left.0 + EPS || a.job.gpus * n as f64 > left.1 + EPS {
@@ -482,13 +497,18 @@
         Some(all_up)
     }
 
+    /// A machine without GPUs that is up.
+    fn is_plain(&self, i: usize) -> bool {
+        self.places[i].up && !self.places[i].gpus
+    }
+
     /// Takes room for `n` tasks, all or none.
     fn choose(&mut self, a: &mut Active, n: u32) -> Option<Vec<usize>> {
         let mut chosen = Vec::new();
         for _ in 0..n {
             // Offers opened since the job was looked at.
             for i in a.choices.len()..self.places.len() {
-                a.choices.push(self.choice(a.job, i));
+                a.choices.push(self.choice_for(a.job, i, a.spares_gpus));
             }
             let Some(i) = self.best(a) else { break };
             self.places[i].take(a.job);
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -166,7 +166,7 @@
     },
 }
 
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
 pub struct ReportAnswer {
     pub baton: Baton,
     pub orders: Vec<Order>,
