Give workers their lease's time to find a new leader; refused controllers ask peers who leads

Ruled out: the deaf-machine rule (no such line in the log), a lost lease (the machines were returned before).

--- a/src/core/leader/machines.rs
+++ b/src/core/leader/machines.rs
@@ -89,6 +89,7 @@
         let deaf = self.machines.values().filter(|m| is_deaf(m)).count();
         self.many_deaf = deaf > 2 && deaf * 3 > up;
         let many_deaf = self.many_deaf;
+        let lease = self.p.lease;
         let mut returns: Vec<MachineId> = Vec::new();
         let mut idle: Vec<MachineId> = Vec::new();
         for (id, m) in &mut self.machines {
@@ -97,12 +98,14 @@
             if !m.doomed {
                 let t = &self.types[m.kind];
                 let boot = Span::secs((t.boot_s * 3.5).max(60.0)) + self.p.list_lag;
-                let in_office = now - self.since;
                 let silent = now - m.last_report.max(self.since);
+                // A worker may need some seconds to find a new leader: one that hasn't yet is no
+                // more silent than its lease is long.
+                let silent_after = if m.confirmed { silent_after } else { silent_after.max(lease) };
                 if !m.up && m.commission == Commission::No && now - m.since > boot {
                     info!("machine {id} has not come up and goes back");
                     m.doomed = true;
-                } else if m.commission == Commission::Yes && silent > silent_after && in_office > silent_after {
+                } else if m.commission == Commission::Yes && silent > silent_after {
                     info!("machine {id} is silent for {:.1} s and goes back", silent.as_secs());
                     m.doomed = true;
                 } else if is_deaf(m) && !many_deaf {
--- a/src/net/election.rs
+++ b/src/net/election.rs
@@ -78,6 +78,7 @@
 fn heard_peers(i: &mut Inner, answers: &[Option<HelloAnswer>]) {
     i.peer_has_state = answers.iter().flatten().any(|a| a.state_ok);
     i.alone = !answers.is_empty() && answers.iter().all(Option::is_none);
+    i.leader_by_peers = answers.iter().flatten().map(|a| a.leader.clone()).find(|l| !l.is_empty());
 }
 
 async fn bid(node: &Arc<Node>) -> Option<Office> {
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -43,6 +43,8 @@
     pub peer_has_state: bool,
     /// No peer answered when last asked.
     pub alone: bool,
+    /// Who leads, by the word of a peer that the state service answers.
+    pub leader_by_peers: Option<String>,
     /// Machines that have reported here while another led, and when.
     pub strays: HashMap<String, Mono>,
     /// Machines that the leader has said it doesn't hear from.
@@ -110,6 +112,7 @@
             state_silent_since: None,
             peer_has_state: false,
             alone: false,
+            leader_by_peers: None,
             strays: HashMap::new(),
             silent: HashSet::new(),
             heir: None,
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -50,7 +50,8 @@
     let promise = if hello.hold_on { i.leadership.promise_to(now) } else { Span(0) };
     let state_ok = !i.leadership.is_refused();
     let strays = i.count_strays(now);
-    Some(HelloAnswer { version: VERSION, state_ok, promise_ms: promise.0, strays }.encode_to_vec())
+    let leader = i.leader_name.clone().filter(|_| state_ok).unwrap_or_default();
+    Some(HelloAnswer { version: VERSION, state_ok, promise_ms: promise.0, strays, leader }.encode_to_vec())
 }
 
 /// Has a peer plan for its share; none: it didn't.
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -96,9 +96,9 @@
                 i.note_stray(&r.machine, now);
             }
             // A worker that the leader doesn't hear would only wait there in vain. And a name read
-            // longer ago than a lease lasts may send it round in circles.
-            let stale = i.refused_since.is_some_and(|t| now - t > node.settings.state_ttl());
-            let steward = if stale || i.silent.contains(&r.machine) { None } else { i.leader_name.clone() };
+            // before the state service fell silent may send it round in circles; peers may know.
+            let known = if i.refused_since.is_some() { &i.leader_by_peers } else { &i.leader_name };
+            let steward = if i.silent.contains(&r.machine) { None } else { known.clone() };
             (term, i.leader.is_some(), steward)
         };
         if let Some(term) = term {
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -53,6 +53,9 @@
     /// Machines that have lately tried to report here, though another leads.
     #[prost(uint32, tag = "4")]
     pub strays: u32,
+    /// Who leads, as far as the answering controller has read it from the state service.
+    #[prost(string, tag = "5")]
+    pub leader: String,
 }
 
 #[derive(Clone, PartialEq, Message)]
