--- a/src/core/leader/room.rs
+++ b/src/core/leader/room.rs
@@ -194,6 +194,8 @@
                 .slots
                 .iter()
                 .filter(|(_, s)| !s.exited() && s.stop.is_none() && priority_number(s.priority) > priority)
+                // Stopping one task of a gang stops it whole: too dear for an image.
+                .filter(|(k, _)| !with_image || self.gang_size(&k.0.job) == 1.0)
                 .collect();
             victims.sort_by_key(|(_, s)| {
                 let ran = s.running_since.map_or(0, |t| (now - t).0);
@@ -206,7 +208,8 @@
                     break;
                 }
                 free.add(&s.need);
-                lost += 1.0 + s.running_since.map_or(0.0, |t| (now - t).as_secs()) * s.need.cpus.max(1.0);
+                let ran = s.running_since.map_or(0.0, |t| (now - t).as_secs());
+                lost += self.gang_size(&k.0.job) * (1.0 + ran * s.need.cpus.max(1.0));
                 chosen.push(k.clone());
             }
             if !free.holds(&need) {
@@ -233,6 +236,11 @@
         true
     }
 
+    /// How many tasks end when one of the job's is stopped.
+    fn gang_size(&self, id: &JobId) -> f64 {
+        self.jobs.get(id).filter(|j| j.spec.kind == Kind::Gang).map_or(1.0, |j| f64::from(j.spec.tasks))
+    }
+
     /// Whether a job's tasks may be on the machine, room and the job's other tasks aside.
     fn suits(&self, now: Mono, j: &Job, id: &MachineId, m: &Machine) -> bool {
         let s = &j.spec;
