Nothing comes before a service: it may take what GPU jobs need as a last resort

Replicas are kept apart and off spot machines; in dundalk 49 yardboxes and 90 visionboxes hold 286 of them, as on a visionbox only the 2 CPUs that dock-vision leaves were open.

--- a/src/core/leader/room.rs
+++ b/src/core/leader/room.rs
@@ -187,7 +187,8 @@
             for s in m.slots.values().filter(|s| !s.exited() && s.stop.is_some()) {
                 free.add(&s.need);
             }
-            if t.gpus > 0.0 && need.gpus <= 0.0 && !self.spare(m).holds(&Amount { gpus: 0.0, ..need }) {
+            let spared = t.gpus > 0.0 && need.gpus <= 0.0 && !self.spare(m).holds(&Amount { gpus: 0.0, ..need });
+            if spared && spec.kind != Kind::Service {
                 continue;
             }
             let mut victims: Vec<(&SlotKey, &Slot)> = m
@@ -219,7 +220,7 @@
                 lost += 20.0 * spec.image_gb / t.fetch_gb_per_s.max(0.01);
             }
             if spec.kind == Kind::Service && t.gpus > 0.0 && need.gpus <= 0.0 {
-                lost += 1e6;
+                lost += if spared { 1e9 } else { 1e6 };
             }
             if best.as_ref().is_none_or(|(b, _, _)| lost < *b) {
                 best = Some((lost, mid.clone(), chosen));
