--- a/src/core/leader/mod.rs
+++ b/src/core/leader/mod.rs
@@ -143,6 +143,8 @@
     open_round: Option<Round>,
     reservations: Vec<Reservation>,
     move_at: Mono,
+    /// The jobs within their team's guarantee, as of the last round.
+    within_guarantee: BTreeSet<JobId>,
     /// Some machine may not be accounted for yet.
     dark: bool,
     /// So many machines don't confirm what they are told that it is rather this controller that
@@ -280,6 +282,7 @@
             open_round: None,
             reservations: Vec::new(),
             move_at: now,
+            within_guarantee: BTreeSet::new(),
             dark: false,
             many_deaf: false,
             looked_at: now,
--- a/src/core/leader/room.rs
+++ b/src/core/leader/room.rs
@@ -166,6 +166,7 @@
         let spec = &j.spec;
         let need = Amount::of_task(spec);
         let priority = priority_number(spec.priority);
+        let guaranteed = self.within_guarantee.contains(id);
         let image = self.images.get(&spec.image).copied().unwrap_or(u32::MAX);
         // What is placed, and what room is being made for.
         let mut placed = zone_counts(j, &self.machines);
@@ -194,7 +195,13 @@
             let mut victims: Vec<(&SlotKey, &Slot)> = m
                 .slots
                 .iter()
-                .filter(|(_, s)| !s.exited() && s.stop.is_none() && priority_number(s.priority) > priority)
+                .filter(|(_, s)| !s.exited() && s.stop.is_none())
+                .filter(|(k, s)| {
+                    // A team's guarantee goes before what other teams run beyond theirs.
+                    let beyond = || s.team != Some(j.team) && !self.within_guarantee.contains(&k.0.job);
+                    priority_number(s.priority) > priority
+                        || guaranteed && priority_number(s.priority) == priority && beyond()
+                })
                 // Stopping one task of a gang stops it whole: too dear for an image.
                 .filter(|(k, _)| !with_image || self.gang_size(&k.0.job) == 1.0)
                 .collect();
--- a/src/core/leader/rounds.rs
+++ b/src/core/leader/rounds.rs
@@ -303,6 +303,7 @@
             spot_mu: self.spot_lives.mu,
             spot_sigma: self.spot_lives.sigma,
         };
+        self.within_guarantee = guaranteed;
         (input, job_ids, machine_ids)
     }
 
--- a/src/core/leader/tests.rs
+++ b/src/core/leader/tests.rs
@@ -283,3 +283,17 @@
     }
     assert!(began.is_some_and(|t| t < 60_000), "{began:?}");
 }
+
+#[test]
+fn a_guarantee_goes_before_what_other_teams_run_beyond_theirs() {
+    let mut rig = Rig::new(2);
+    rig.run(2_000);
+    let beyond = rig.submit(200, spec("req-000001", Kind::Array, 2, 8.0));
+    rig.run(2_000);
+    assert_eq!(rig.runs(&beyond), 2);
+    // team-a is guaranteed 8 CPUs: one whole machine, and no more.
+    let within = rig.submit(200, JobSpec { team: "team-a".into(), ..spec("req-000002", Kind::Array, 1, 8.0) });
+    let more = rig.submit(200, JobSpec { team: "team-a".into(), ..spec("req-000003", Kind::Array, 1, 8.0) });
+    rig.run(2_000);
+    assert_eq!((rig.runs(&within), rig.runs(&more), rig.runs(&beyond)), (1, 0, 1));
+}
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -109,7 +109,7 @@
                 Some(ReportAnswer { baton: Baton::new(term, 0), orders: Vec::new() })
             };
             return match answer {
-                Some(a) => send(res, 200, json!(a).to_string()),
+                Some(a) => send(res, 200, serde_json::to_string(&a).unwrap_or_default()),
                 None => send(res, 503, json!({"error": "not answered"}).to_string()),
             };
         }
