--- a/src/core/leader/room.rs
+++ b/src/core/leader/room.rs
@@ -274,9 +274,16 @@
                 && !self.held_back(j)
                 && wall_age(wall, j.submitted) >= self.tuning.gather_s
         };
+        // Of a class only the largest, down to half of the most: smaller ones find room anyway.
+        let mut most: BTreeMap<&str, u32> = BTreeMap::new();
+        for j in self.jobs.values().filter(|j| j.spec.kind == Kind::Gang) {
+            let m = most.entry(&j.spec.class).or_default();
+            *m = j.spec.tasks.max(*m);
+        }
+        let large = |j: &Job| most.get(&*j.spec.class).is_some_and(|m| j.spec.tasks.saturating_mul(2) >= *m);
         let size = |j: &Job| (j.spec.priority, std::cmp::Reverse(j.spec.tasks), j.submitted);
         let mut waiting: Vec<_> =
-            self.jobs.iter().filter(|(_, j)| waits(j)).map(|(id, j)| (size(j), id.clone())).collect();
+            self.jobs.iter().filter(|(_, j)| waits(j) && large(j)).map(|(id, j)| (size(j), id.clone())).collect();
         waiting.sort();
         for (_, id) in waiting {
             if self.gather_for(now, &id, true) {
