--- a/src/core/leader/rounds.rs
+++ b/src/core/leader/rounds.rs
@@ -409,13 +409,15 @@
 
     /// Whether urgent work would miss its aim on starting on this machine, as the image has to be
     /// fetched first, and could meet it elsewhere: then room is made where the image is.
-    fn starts_late(&self, now: Mono, job: &JobId, machine: &MachineId, view: Option<&JobView>) -> bool {
+    pub(super) fn starts_late(&self, now: Mono, job: &JobId, machine: &MachineId, view: Option<&JobView>) -> bool {
         let (Some(j), Some(m), Some(v)) = (self.jobs.get(job), self.machines.get(machine), view) else { return false };
         let image = self.images.get(&j.spec.image).copied().unwrap_or(u32::MAX);
         let fetch_s =
             m.image_ready(image, now).unwrap_or(j.spec.image_gb / self.types[m.kind].fetch_gb_per_s.max(0.01));
         let aim = self.settings.start_aim(&j.spec.class, v.guaranteed);
-        j.spec.priority <= Priority::High && aim.is_some_and(|aim| v.age_s < aim && v.age_s + fetch_s > aim)
+        // A replica that is lost later is as urgent as a first one.
+        let age_s = if j.spec.kind == Kind::Service { 0.0 } else { v.age_s };
+        j.spec.priority <= Priority::High && aim.is_some_and(|aim| age_s < aim && age_s + fetch_s > aim)
     }
 
     pub(super) fn next_attempt(&mut self) -> Attempt {
--- a/src/core/leader/tests.rs
+++ b/src/core/leader/tests.rs
@@ -297,3 +297,22 @@
     rig.run(2_000);
     assert_eq!((rig.runs(&within), rig.runs(&more), rig.runs(&beyond)), (1, 0, 1));
 }
+
+#[test]
+fn a_replica_lost_late_is_as_urgent_as_a_first_one() {
+    let mut rig = Rig::new(1);
+    rig.run(2_000);
+    let feed = |id: &str, kind: Kind| JobSpec {
+        class: "feed".into(),
+        priority: Priority::Prod,
+        image_gb: 20.0,
+        ..spec(id, kind, 1, 9.0)
+    };
+    let service = rig.submit(200, feed("req-000001", Kind::Service));
+    let array = rig.submit(200, feed("req-000002", Kind::Array));
+    let m = MachineId::parse("m-000000").unwrap();
+    // The image takes 20 s to fetch, the aim of the class is 3 s, and both jobs are old.
+    let old = JobView { age_s: 100.0, ..JobView::default() };
+    assert!(rig.leader.starts_late(Mono(rig.now), &service, &m, Some(&old)), "better where its image is");
+    assert!(!rig.leader.starts_late(Mono(rig.now), &array, &m, Some(&old)), "its aim is missed anyway");
+}
