--- a/src/config.rs
+++ b/src/config.rs
@@ -235,7 +235,7 @@
             batch_max: 1024.0,
             round_ms: 150.0,
             user_requests: 64.0,
-            gather_s: 60.0,
+            gather_s: 120.0,
         }
     }
 }
--- a/src/core/leader/room.rs
+++ b/src/core/leader/room.rs
@@ -32,7 +32,7 @@
             }
             if view.gang {
                 // All of it or nothing: work is stopped only where that is enough.
-                self.gather_for(now, id, &mut BTreeSet::new(), false);
+                self.gather_for(now, id, false);
                 continue;
             }
             for _ in 0..w.count.min(64) {
@@ -261,7 +261,7 @@
 
     /// Gathers room for gangs that have waited long: smaller work would take every machine that
     /// becomes free, and the largest gangs would never begin. Free machines are held, for one gang
-    /// at a time in a zone and the largest first, as holding costs what fresh work could have had; once they
+    /// at a time and the largest first, as holding costs what fresh work could have had; once they
     /// suffice together with what can be had by stopping work of lower priority, it is stopped.
     pub(super) fn gather(&mut self, now: Mono, wall: Wall) {
         let waits = |j: &Job| {
@@ -285,24 +285,22 @@
         let mut waiting: Vec<_> =
             self.jobs.iter().filter(|(_, j)| waits(j) && large(j)).map(|(id, j)| (size(j), id.clone())).collect();
         waiting.sort();
-        let mut taken: BTreeSet<u32> = BTreeSet::new();
         for (_, id) in waiting {
-            if taken.len() >= self.zones.len() {
+            if self.gather_for(now, &id, true) {
                 break;
             }
-            self.gather_for(now, &id, &mut taken, true);
         }
     }
 
-    /// Finds room for a gang in a zone that isn't taken; `hold` keeps what there is although it
-    /// doesn't suffice yet.
-    fn gather_for(&mut self, now: Mono, id: &JobId, taken: &mut BTreeSet<u32>, hold: bool) {
-        let Some(j) = self.jobs.get(id) else { return };
+    /// Finds room for a gang; `hold` keeps what there is although it doesn't suffice yet. False:
+    /// nowhere, or its team has no quota left.
+    fn gather_for(&mut self, now: Mono, id: &JobId, hold: bool) -> bool {
+        let Some(j) = self.jobs.get(id) else { return false };
         let (tasks, need) = (j.spec.tasks, Amount::of_task(&j.spec));
         if !self.quota_holds(j.team, &need, f64::from(tasks)) {
-            return;
+            return false;
         }
-        let Some(j) = self.jobs.get(id) else { return };
+        let Some(j) = self.jobs.get(id) else { return false };
         let held_in = self.reservations.iter().find(|r| r.job == *id).and_then(|r| self.machines.get(&r.machine));
         let held_in = held_in.map(|m| m.zone);
         // By zone: what is free for it now, what could be made so, and what its machines could
@@ -316,9 +314,6 @@
         let priority = priority_number(j.spec.priority);
         let mut zones: BTreeMap<u32, Zone> = BTreeMap::new();
         for (mid, m) in self.machines.iter().filter(|(mid, m)| self.suits(now, j, mid, m)) {
-            if taken.contains(&m.zone) {
-                continue;
-            }
             let t = &self.types[m.kind];
             let mut free = m.free(t);
             self.reserved(mid).filter(|r| r.job != *id).for_each(|r| free.sub(&r.need));
@@ -341,12 +336,7 @@
             .into_iter()
             .filter(|(_, z)| z.most >= tasks)
             .max_by_key(|(zone, z)| (held_in == Some(*zone), z.soon.min(tasks), free(z)));
-        let Some((zone, z)) = best.filter(|(_, z)| hold || z.soon >= tasks) else { return };
-        if zone == u32::MAX {
-            taken.extend(0..self.zones.len() as u32);
-        } else {
-            taken.insert(zone);
-        }
+        let Some((_, z)) = best.filter(|(_, z)| hold || z.soon >= tasks) else { return false };
         self.reservations.retain(|r| r.job != *id);
         let until = now + RESERVED_FOR;
         let mut left = tasks;
@@ -362,6 +352,7 @@
                 left -= 1;
             }
         }
+        true
     }
 }
 
