Places are compared once for each job and round, not for each task

Ruled out: the candidates' number (the view already leaves out full machines). A job's places are put in order of quality once a round, and again when none of those that passed both filters has room; room, budget and time only shrink within a round. Ages and slowness reach planners in coarse steps, so that places which hardly differ compare as equal.

--- a/src/core/leader/rounds.rs
+++ b/src/core/leader/rounds.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// Planners are told the ages of machines in steps of this.
+const AGE_STEP_S: f64 = 30.0;
+
 impl Leader {
     /// Starts a round: each controller plans for the teams of its share, all on the same view.
     pub(super) fn round(&mut self, now: Mono, wall: Wall) {
@@ -141,7 +144,7 @@
                 spot: m.spot,
                 up: usable,
                 ready_s,
-                age_s: age,
+                age_s: (age / AGE_STEP_S).floor() * AGE_STEP_S,
                 free_cpus: free.cpus,
                 free_gpus: free.gpus,
                 free_memory_gb: free.memory_gb,
@@ -150,7 +153,8 @@
                     .iter()
                     .map(|(i, _)| ImageView { image: *i, ready_s: m.image_ready(*i, now).unwrap_or(0.0) })
                     .collect(),
-                slowness: m.slowness,
+                // Coarse, so that places which hardly differ compare as equal.
+                slowness: (m.slowness * 4.0).round().max(1.0) / 4.0,
                 spare_cpus: spare.cpus,
                 spare_memory_gb: spare.memory_gb,
             });
--- a/src/core/miser.rs
+++ b/src/core/miser.rs
@@ -113,6 +113,9 @@
 /// Whether one more task may go to the zone, given where the job's others are: of a spread job at
 /// most half, rounded up, are in one zone; of a one-zone job all are.
 pub fn zone_allowed(spread: bool, one_zone: bool, tasks: u32, placed: &[ZoneCount], zone: u32) -> bool {
+    if !spread && !one_zone {
+        return true;
+    }
     let here = placed.iter().filter(|z| z.zone == zone).map(|z| z.count).sum::<u32>();
     let elsewhere = placed.iter().any(|z| z.zone != zone && z.count > 0);
     !(spread && here >= tasks.div_ceil(2) || one_zone && elsewhere)
@@ -136,6 +139,23 @@
     cpus_left: std::collections::BTreeMap<u32, (f64, f64)>,
 }
 
+/// The places open to a job, the best first. Its tasks are alike, so they are compared when the
+/// round comes to the job and again when none of those is left that passed both filters, not for
+/// each task: room, budget and time only shrink within a round.
+#[derive(Default)]
+struct Order {
+    /// Place, cost, and whether it is in time.
+    list: Vec<(usize, f64, bool)>,
+    cheapest: f64,
+    /// Before here, none has room and passes both filters any more.
+    passing: usize,
+    /// Before here, none has room any more.
+    any: usize,
+    /// None passed both filters when they were last compared.
+    hopeless: bool,
+    built: bool,
+}
+
 /// A job's state within a round.
 struct Active<'a> {
     job: &'a JobView,
@@ -148,10 +168,7 @@
     put: std::collections::BTreeMap<u32, (u32, f64)>,
     waiting: Waiting,
     rank: f64,
-    /// Where the job's last task went, with the cheapest cost then open to it. Its next task, being
-    /// alike, goes there too while there is room and the budget allows: what has filled up
-    /// meanwhile only leaves fewer places to compare with.
-    last: Option<(usize, f64)>,
+    order: Order,
     /// Wider and wider as nothing that is up has room.
     reach: Reach,
 }
@@ -330,7 +347,7 @@
             put: Default::default(),
             waiting: Waiting { job: j.key, ..Default::default() },
             rank,
-            last: None,
+            order: Order::default(),
             reach,
         }
     }
@@ -393,49 +410,101 @@
         Some(Choice { finish_s, start_s, cost, reliability, spot: pl.spot })
     }
 
-    fn open_to(&self, a: &Active, i: usize) -> bool {
-        let pl = &self.places[i];
-        pl.fits(a.job, a.reach) && zone_allowed(a.job.spread, a.job.one_zone, a.job.tasks, &a.zones, pl.zone)
+    fn has_room(&self, a: &Active, i: usize) -> bool {
+        self.places[i].fits(a.job, a.reach)
+    }
+
+    /// Whether a place that is up is open to the job.
+    fn some_is_up(&self, a: &mut Active) -> bool {
+        if !a.order.built {
+            self.compare(a);
+        }
+        // Room only shrinks: what was found before is looked at first.
+        let open = |(i, _, _): &(usize, f64, bool)| self.places[*i].up && self.has_room(a, *i) && self.may_be_in(a, *i);
+        a.order.list[a.order.any..].iter().any(open)
+    }
+
+    fn may_be_in(&self, a: &Active, i: usize) -> bool {
+        zone_allowed(a.job.spread, a.job.one_zone, a.job.tasks, &a.zones, self.places[i].zone)
     }
 
     /// The place of the highest quality for the job's next task (paper, lines 10-16).
     fn best(&self, a: &mut Active) -> Option<usize> {
-        if let Some((i, cheapest)) = a.last
-            && let Some(c) = &a.choices[i]
-            && self.open_to(a, i)
-            && c.cost <= cheapest + a.spare + EPS
-        {
-            return Some(i);
+        if !a.order.built {
+            self.compare(a);
+        }
+        loop {
+            if !a.order.hopeless {
+                let found = self.first(a, a.order.passing, true);
+                a.order.passing = found.unwrap_or(a.order.list.len());
+                if let Some(at) = found {
+                    return Some(a.order.list[at].0);
+                }
+                self.compare(a);
+                if !a.order.hopeless {
+                    continue;
+                }
+            }
+            let found = self.first(a, a.order.any, false);
+            a.order.any = found.unwrap_or(a.order.list.len());
+            return found.map(|at| a.order.list[at].0);
         }
-        let open: Vec<usize> =
-            (0..self.places.len()).filter(|i| a.choices[*i].is_some() && self.open_to(a, *i)).collect();
+    }
+
+    /// Where in the job's order the first place from `from` on is that is still open to it.
+    fn first(&self, a: &Active, from: usize, filters: bool) -> Option<usize> {
+        let most = a.order.cheapest + a.spare + EPS;
+        let passes = |cost: f64, in_time: bool| !filters || in_time && cost <= most;
+        let rest = a.order.list[from..].iter();
+        rest.enumerate()
+            .find(|(_, (i, cost, in_time))| passes(*cost, *in_time) && self.has_room(a, *i) && self.may_be_in(a, *i))
+            .map(|(n, _)| from + n)
+    }
+
+    /// Enters a machine of an offer that was opened since: behind the one opened before it, which
+    /// is its equal.
+    fn enter_opened(&self, a: &mut Active, i: usize) {
+        let Some(c) = &a.choices[i] else { return };
+        let offer = self.places[i].offer;
+        let Some(at) = a.order.list.iter().rposition(|(o, _, _)| self.places[*o].offer == offer) else {
+            a.order.built = false;
+            return;
+        };
+        let in_time = a.order.list[at].2;
+        a.order.list.insert(at + 1, (i, c.cost, in_time));
+        a.order.passing = a.order.passing.min(at + 1);
+        a.order.any = a.order.any.min(at + 1);
+    }
+
+    /// Puts the places open to the job in order of quality.
+    fn compare(&self, a: &mut Active) {
+        let open: Vec<usize> = (0..a.choices.len())
+            .filter(|i| a.choices[*i].is_some() && self.has_room(a, *i) && self.may_be_in(a, *i))
+            .collect();
         let all = || open.iter().filter_map(|i| a.choices[*i].as_ref().map(|c| (*i, c)));
-        let mut lo: Option<Choice> = None;
-        let mut hi: Option<Choice> = None;
+        let first =
+            Choice { finish_s: f64::INFINITY, cost: f64::INFINITY, start_s: 0.0, reliability: 0.0, spot: false };
+        let (mut lo, mut hi) = (first, Choice { finish_s: 0.0, cost: 0.0, ..first });
         for (_, c) in all() {
-            let l = lo.get_or_insert(*c);
-            l.finish_s = l.finish_s.min(c.finish_s);
-            l.cost = l.cost.min(c.cost);
-            let h = hi.get_or_insert(*c);
-            h.finish_s = h.finish_s.max(c.finish_s);
-            h.cost = h.cost.max(c.cost);
+            lo.finish_s = lo.finish_s.min(c.finish_s);
+            lo.cost = lo.cost.min(c.cost);
+            hi.finish_s = hi.finish_s.max(c.finish_s);
+            hi.cost = hi.cost.max(c.cost);
         }
-        let (lo, hi) = (lo?, hi?);
-        let mut accepted: Option<(f64, usize)> = None;
-        let mut any: Option<(f64, usize)> = None;
-        for (i, c) in all() {
-            let q = quality(c, &lo, &hi);
-            if any.is_none_or(|(b, _)| q > b + EPS) {
-                any = Some((q, i));
-            }
-            let cheap = c.cost <= lo.cost + a.spare + EPS;
-            let in_time = c.finish_s <= sub_deadline(a.due_s, a.job.run_s, c.spot) + EPS;
-            if cheap && in_time && accepted.is_none_or(|(b, _)| q > b + EPS) {
-                accepted = Some((q, i));
-            }
-        }
-        a.last = accepted.map(|(_, i)| (i, lo.cost));
-        accepted.or(any).map(|(_, i)| i)
+        let in_time = |c: &Choice| c.finish_s <= sub_deadline(a.due_s, a.job.run_s, c.spot) + EPS;
+        // Qualities that differ by less than EPS are equal: then the first place goes first.
+        let mut list: Vec<(i64, (usize, f64, bool))> =
+            all().map(|(i, c)| ((-quality(c, &lo, &hi) / EPS) as i64, (i, c.cost, in_time(c)))).collect();
+        list.sort_by_key(|(q, _)| *q);
+        let passes = |(_, cost, in_time): &(usize, f64, bool)| *in_time && *cost <= lo.cost + a.spare + EPS;
+        a.order = Order {
+            hopeless: !list.iter().any(|(_, p)| passes(p)),
+            list: list.into_iter().map(|(_, p)| p).collect(),
+            cheapest: lo.cost,
+            passing: 0,
+            any: 0,
+            built: true,
+        };
     }
 
     /// Places the job's next task, or the whole gang: on machines that are up (true) or not all
@@ -443,13 +512,12 @@
     fn place_next(&mut self, a: &mut Active) -> Option<bool> {
         if a.job.service && a.job.gpus <= EPS {
             for reach in [Reach::Spare, Reach::Any] {
-                let up = |i: usize| a.choices[i].is_some() && self.places[i].up && self.open_to(a, i);
-                if a.reach >= reach || (0..a.choices.len()).any(up) {
+                if a.reach >= reach || self.some_is_up(a) {
                     continue;
                 }
                 a.reach = reach;
-                a.last = None;
                 a.choices = (0..self.places.len()).map(|i| self.choice_for(a.job, i, reach)).collect();
+                a.order.built = false;
             }
         }
         let n = if a.job.gang { a.left } else { 1 };
@@ -465,6 +533,7 @@
             zones.dedup();
             for zone in zones {
                 a.zones = vec![ZoneCount { zone, count: 1 }];
+                a.order.built = false;
                 chosen = self.choose(a, n);
                 if chosen.is_some() {
                     break;
@@ -520,6 +589,7 @@
             // Offers opened since the job was looked at.
             for i in a.choices.len()..self.places.len() {
                 a.choices.push(self.choice_for(a.job, i, a.reach));
+                self.enter_opened(a, i);
             }
             let Some(i) = self.best(a) else { break };
             self.places[i].take(a.job);
@@ -534,7 +604,7 @@
             return Some(chosen);
         }
         // Room that was taken for the rest is given back.
-        a.last = None;
+        a.order.built = false;
         for i in chosen {
             self.places[i].give_back(a.job);
             if self.places[i].offer.is_some() && self.places[i].load <= EPS {
