GPU machines are kept for GPU jobs by what these wanted lately

Ruled out: guarantees (4,600 stops in all for arrays), processor time (the same without a charge for it). Of each zone's GPU machines only as many are filled as GPU jobs haven't wanted lately; the rest take what GPU tasks leave of them.

--- a/src/core/leader/mod.rs
+++ b/src/core/leader/mod.rs
@@ -140,6 +140,9 @@
     team_names: Vec<String>,
     /// For each type the most that a GPU job has asked of it.
     gpu_needs: Vec<Amount>,
+    /// For each zone the most GPUs that jobs have wanted, fading to what they want now.
+    gpus_wanted: Vec<f64>,
+    lent_at: Mono,
     open_round: Option<Round>,
     reservations: Vec<Reservation>,
     move_at: Mono,
@@ -252,6 +255,8 @@
             tuning,
             term,
             since: now,
+            gpus_wanted: vec![0.0; zones.len()],
+            lent_at: now,
             zones,
             images: HashMap::new(),
             jobs: BTreeMap::new(),
--- a/src/core/leader/room.rs
+++ b/src/core/leader/room.rs
@@ -2,6 +2,10 @@
 
 use super::*;
 
+/// How long the most GPUs that jobs have wanted are kept free for them, about a run's time of the
+/// work that could have had them.
+const GPU_MEMORY_S: f64 = 60.0;
+
 impl Leader {
     /// Tasks that found no machine that is up: preemption, and the paper's second fall-back.
     pub(super) fn heed_waiting(&mut self, now: Mono, input: &PlanInput, out: &PlanOutput, jobs: &[(JobId, bool)]) {
@@ -52,6 +56,55 @@
         spare
     }
 
+    /// The GPU machines that work without GPUs may fill: of each zone's, as many as GPU jobs haven't
+    /// wanted lately, and those first that do such work already. Filled as they come free, they
+    /// would be cleared for the next GPU job, and what ran there would start over each time.
+    pub(super) fn lent(&mut self, now: Mono, waiting: &BTreeSet<JobId>) -> BTreeSet<MachineId> {
+        let mut total = vec![0.0; self.zones.len()];
+        let mut wanted = vec![0.0; self.zones.len()];
+        let mut idle: Vec<(f64, &MachineId, &Machine)> = Vec::new();
+        for (id, m) in self.machines.iter().filter(|(_, m)| m.up && !m.doomed && self.types[m.kind].gpus > 0.0) {
+            total[m.zone as usize] += self.types[m.kind].gpus;
+            let used = m.used();
+            wanted[m.zone as usize] += used.gpus;
+            if used.gpus <= 0.0 {
+                idle.push((used.cpus, id, m));
+            }
+        }
+        // What waits may go to any zone.
+        let jobs = waiting.iter().filter_map(|id| self.jobs.get(id));
+        let waits: f64 = jobs.map(|j| j.ready.len() as f64 * j.spec.gpus).sum();
+        let all: f64 = total.iter().sum();
+        let fade = ((now - self.lent_at).as_secs() / GPU_MEMORY_S).min(1.0);
+        self.lent_at = now;
+        for ((peak, wanted), total) in self.gpus_wanted.iter_mut().zip(wanted).zip(&mut total) {
+            let w = wanted + if all > 0.0 { waits * *total / all } else { 0.0 };
+            *peak = w.max(*peak + (w - *peak) * fade);
+            *total -= *peak;
+        }
+        idle.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(b.1)));
+        let mut lent = BTreeSet::new();
+        for (_, id, m) in idle {
+            let left = &mut total[m.zone as usize];
+            let gpus = self.types[m.kind].gpus;
+            if *left >= gpus {
+                *left -= gpus;
+                lent.insert(id.clone());
+            }
+        }
+        lent
+    }
+
+    /// What work without GPUs that can be stopped for GPU jobs may still take of a GPU machine.
+    pub(super) fn rest(&self, m: &Machine, lent: bool) -> Amount {
+        let mut rest = m.free(&self.types[m.kind]);
+        let gpu_work = m.slots.values().any(|s| !s.exited() && s.need.gpus > 0.0);
+        if !lent && !gpu_work {
+            rest.sub(&self.gpu_needs[m.kind]);
+        }
+        rest
+    }
+
     pub(super) fn reserved(&self, id: &MachineId) -> impl Iterator<Item = &Reservation> {
         self.reservations.iter().filter(move |r| r.machine == *id)
     }
--- a/src/core/leader/rounds.rs
+++ b/src/core/leader/rounds.rs
@@ -105,6 +105,7 @@
                 memory_gb: l.memory_gb.min(n.memory_gb),
             }))
         });
+        let lent = self.lent(now, &waiting);
         let mut kept: BTreeMap<&MachineId, Amount> = BTreeMap::new();
         for r in &self.reservations {
             kept.entry(&r.machine).or_default().add(&r.need);
@@ -129,6 +130,7 @@
                 continue;
             }
             let spare = self.spare(m);
+            let rest = self.rest(m, !m.up || lent.contains(id));
             let age = (now - m.since).as_secs();
             let ready_s = if usable {
                 0.0
@@ -157,6 +159,8 @@
                 slowness: (m.slowness * 4.0).round().max(1.0) / 4.0,
                 spare_cpus: spare.cpus,
                 spare_memory_gb: spare.memory_gb,
+                rest_cpus: rest.cpus,
+                rest_memory_gb: rest.memory_gb,
             });
             machine_ids.push(Some(id.clone()));
         }
@@ -172,6 +176,8 @@
                     free_cpus: t.cpus,
                     free_gpus: t.gpus,
                     free_memory_gb: t.memory_gb,
+                    rest_cpus: t.cpus,
+                    rest_memory_gb: t.memory_gb,
                     slowness: 1.0,
                     ..Default::default()
                 });
--- a/src/core/miser.rs
+++ b/src/core/miser.rs
@@ -41,9 +41,10 @@
     zone: u32,
     spot: bool,
     up: bool,
-    /// It has GPUs: `spare` is the room of urgent work without.
+    /// It has GPUs: `spare` is the room of urgent work without, `rest` that of other such work.
     gpus: bool,
     spare: Room,
+    rest: Room,
     room: Room,
     /// For a machine yet to be rented: the offer it comes from, and whether a task wants it.
     offer: Option<usize>,
@@ -54,21 +55,28 @@
 
 impl Place {
     fn fits(&self, j: &JobView, reach: Reach) -> bool {
-        self.room.fits(j) && (reach == Reach::Any || !self.guards_against(j) || self.spare.fits(j))
+        let part = if j.priority <= URGENT { &self.spare } else { &self.rest };
+        self.room.fits(j) && (reach == Reach::Any || !self.guards_against(j) || part.fits(j))
     }
     fn guards_against(&self, j: &JobView) -> bool {
-        self.gpus && j.gpus <= EPS && j.priority <= URGENT
+        self.gpus && j.gpus <= EPS
     }
     fn take(&mut self, j: &JobView) {
         self.room.take(j);
         if self.guards_against(j) {
-            self.spare.take(j);
+            self.rest.take(j);
+            if j.priority <= URGENT {
+                self.spare.take(j);
+            }
         }
     }
     fn give_back(&mut self, j: &JobView) {
         self.room.give_back(j);
         if self.guards_against(j) {
-            self.spare.give_back(j);
+            self.rest.give_back(j);
+            if j.priority <= URGENT {
+                self.spare.give_back(j);
+            }
         }
     }
 }
@@ -271,6 +279,7 @@
                 up: m.up,
                 gpus: input.types[m.kind as usize].gpus > EPS,
                 spare: Room { cpus: m.spare_cpus, gpus: 0.0, memory_gb: m.spare_memory_gb },
+                rest: Room { cpus: m.rest_cpus, gpus: 0.0, memory_gb: m.rest_memory_gb },
                 room: Room { cpus: m.free_cpus, gpus: m.free_gpus, memory_gb: m.free_memory_gb },
                 offer: None,
                 opened: false,
@@ -300,6 +309,7 @@
             up: false,
             gpus: false,
             spare: Room { cpus: 0.0, gpus: 0.0, memory_gb: 0.0 },
+            rest: Room { cpus: 0.0, gpus: 0.0, memory_gb: 0.0 },
             room: Room { cpus: t.cpus, gpus: t.gpus, memory_gb: t.memory_gb },
             offer: Some(o),
             opened: false,
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -4,7 +4,7 @@
 use prost::Message;
 
 /// Raised whenever a message changes its meaning; others are dropped.
-pub const VERSION: u32 = 1;
+pub const VERSION: u32 = 2;
 
 /// A regular word between controllers; also the question whether a leader may hold on.
 #[derive(Clone, PartialEq, Message)]
@@ -118,6 +118,11 @@
     pub spare_cpus: f64,
     #[prost(double, tag = "14")]
     pub spare_memory_gb: f64,
+    /// Of a GPU machine's free room, what work without GPUs that isn't urgent may take.
+    #[prost(double, tag = "15")]
+    pub rest_cpus: f64,
+    #[prost(double, tag = "16")]
+    pub rest_memory_gb: f64,
 }
 
 #[derive(Clone, PartialEq, Message)]
