--- a/src/core/leader/mod.rs
+++ b/src/core/leader/mod.rs
@@ -144,6 +144,8 @@
     /// For each zone the most GPUs that jobs have wanted, fading to what they want now.
     gpus_wanted: Vec<f64>,
     lent_at: Mono,
+    /// GPU machines that plain work may fill, as of the last round.
+    lent: BTreeSet<MachineId>,
     open_round: Option<Round>,
     reservations: Vec<Reservation>,
     move_at: Mono,
@@ -258,6 +260,7 @@
             since: now,
             gpus_wanted: vec![0.0; zones.len()],
             lent_at: now,
+            lent: BTreeSet::new(),
             zones,
             images: HashMap::new(),
             jobs: BTreeMap::new(),
--- a/src/core/leader/room.rs
+++ b/src/core/leader/room.rs
@@ -59,7 +59,7 @@
     /// The GPU machines that work without GPUs may fill: of each zone's, as many as GPU jobs haven't
     /// wanted lately, and those first that do such work already. Filled as they come free, they
     /// would be cleared for the next GPU job, and what ran there would start over each time.
-    pub(super) fn lent(&mut self, now: Mono, waiting: &BTreeSet<JobId>) -> BTreeSet<MachineId> {
+    pub(super) fn lend(&mut self, now: Mono, waiting: &BTreeSet<JobId>) {
         let mut total = vec![0.0; self.zones.len()];
         let mut wanted = vec![0.0; self.zones.len()];
         let mut idle: Vec<(f64, &MachineId, &Machine)> = Vec::new();
@@ -92,7 +92,7 @@
                 lent.insert(id.clone());
             }
         }
-        lent
+        self.lent = lent;
     }
 
     /// What work without GPUs that can be stopped for GPU jobs may still take of a GPU machine.
@@ -105,6 +105,17 @@
         rest
     }
 
+    /// Whether a planned start leaves GPU jobs their room. Planners keep to that, but not knowing of
+    /// each other they may all give the same machine what is left there.
+    pub(super) fn leaves_gpu_room(&self, j: &Job, id: &MachineId, m: &Machine) -> bool {
+        let s = &j.spec;
+        if self.types[m.kind].gpus <= 0.0 || s.gpus > 0.0 || s.kind == Kind::Service {
+            return true;
+        }
+        let part = if s.priority <= Priority::High { self.spare(m) } else { self.rest(m, self.lent.contains(id)) };
+        part.cpus + 1e-6 >= s.cpus && part.memory_gb + 1e-6 >= s.memory_gb
+    }
+
     pub(super) fn reserved(&self, id: &MachineId) -> impl Iterator<Item = &Reservation> {
         self.reservations.iter().filter(move |r| r.machine == *id)
     }
--- a/src/core/leader/rounds.rs
+++ b/src/core/leader/rounds.rs
@@ -109,7 +109,7 @@
                 memory_gb: l.memory_gb.min(n.memory_gb),
             }))
         });
-        let lent = self.lent(now, &waiting);
+        self.lend(now, &waiting);
         let mut kept: BTreeMap<&MachineId, Amount> = BTreeMap::new();
         for r in &self.reservations {
             kept.entry(&r.machine).or_default().add(&r.need);
@@ -134,7 +134,7 @@
                 continue;
             }
             let spare = self.spare(m);
-            let rest = self.rest(m, !m.up || lent.contains(id));
+            let rest = self.rest(m, !m.up || self.lent.contains(id));
             let age = (now - m.since).as_secs();
             let ready_s = if usable {
                 0.0
@@ -402,7 +402,8 @@
                 .copied()
                 .collect();
             for index in picked {
-                if !self.may_place(now, job, machine, 1.0) {
+                let (Some(j), Some(m)) = (self.jobs.get(job), self.machines.get(machine)) else { break };
+                if !self.leaves_gpu_room(j, machine, m) || !self.may_place(now, job, machine, 1.0) {
                     break;
                 }
                 let attempt = self.next_attempt();
--- a/src/core/leader/tests.rs
+++ b/src/core/leader/tests.rs
@@ -356,13 +356,17 @@
         m.up = true;
         l.machines.insert(MachineId::parse(&format!("m-{i}")).unwrap(), m);
     }
-    assert_eq!(l.lent(Mono(0), &BTreeSet::new()).len(), 4, "nobody wants GPUs");
+    let lent = |l: &mut Leader, at: Mono, waiting: &BTreeSet<JobId>| {
+        l.lend(at, waiting);
+        l.lent.len()
+    };
+    assert_eq!(lent(&mut l, Mono(0), &BTreeSet::new()), 4, "nobody wants GPUs");
     let mut s = spec("req-000001", Kind::Gang, 3, 1.0);
     s.gpus = l.types[gpu].gpus;
     let id = JobId::parse(&s.id).unwrap();
     l.on_live(&id, &json!(LiveRecord { at: Wall(0), spec: s }), Stamp(1));
     let waiting = BTreeSet::from([id]);
-    assert_eq!(l.lent(Mono(100), &waiting).len(), 1);
-    assert_eq!(l.lent(Mono(1_000), &BTreeSet::new()).len(), 1, "not forgotten at once");
-    assert_eq!(l.lent(Mono(200_000), &BTreeSet::new()).len(), 4);
+    assert_eq!(lent(&mut l, Mono(100), &waiting), 1);
+    assert_eq!(lent(&mut l, Mono(1_000), &BTreeSet::new()), 1, "not forgotten at once");
+    assert_eq!(lent(&mut l, Mono(200_000), &BTreeSet::new()), 4);
 }
