A leader inside a cut hands over sooner, and to the controller that was meant

A leader in one of them hands over after 9 to 16 s, when the other zone's leases have run out, as no single peer hears two thirds of the workers within 4 s of each other; the heir is then outrun by a controller in the other zone, which can't be told; and a leader that takes office inside the cut never hands over, as controllers of the far zone send each worker back to it, so that none comes round to the third zone. Ruled out: returns (the silent are many, so none goes back), the cloud's outage.

--- a/src/core/leadership.rs
+++ b/src/core/leadership.rs
@@ -14,12 +14,16 @@
 /// Written with the first leader's key and never removed: someone has been in office.
 pub const FOUNDED_KEY: &str = "ctl/founded";
 
-const YIELD: Span = Span(2_000);
+/// Who is to lead next, written by a leader that hands over. It hangs on a short lease: others hold
+/// back for as long, also those that the leader can't reach.
+pub const HEIR_KEY: &str = "ctl/heir";
+
+pub const YIELD: Span = Span(2_000);
 
 /// Whether a leader should hand over to a peer: many of its machines are silent, and about as many
-/// report to the peer in vain, so it is the leader that can't be reached.
-pub fn should_hand_over(silent: usize, strays: u32, machines: usize) -> bool {
-    silent >= 2 && silent * 12 >= machines && strays as usize * 3 >= silent * 2
+/// report to its peers in vain, so it is the leader that can't be reached.
+pub fn should_hand_over(silent: usize, strays: usize, machines: usize) -> bool {
+    silent >= 2 && silent * 12 >= machines && strays * 3 >= silent * 2
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/src/net/election.rs
+++ b/src/net/election.rs
@@ -4,7 +4,7 @@
 use super::node::{Inner, Node};
 use super::peers;
 use super::state::StateError;
-use crate::core::leadership::{FOUNDED_KEY, LEADER_KEY, LeaderRecord, Office};
+use crate::core::leadership::{FOUNDED_KEY, HEIR_KEY, LEADER_KEY, LeaderRecord, Office, YIELD};
 use crate::ids::Term;
 use crate::peer::HelloAnswer;
 use crate::time::Span;
@@ -52,7 +52,7 @@
                     let now = node.now();
                     node.lock().leadership.may_run(now, founded && !held_it)
                 };
-                if may {
+                if may && !must_yield(&node).await {
                     held_it = false;
                     if let Some(office) = bid(&node).await {
                         founded = true;
@@ -189,12 +189,30 @@
     }
     let mut hello = peers::hello(node);
     hello.heir = heir;
-    peers::ask_all(node, &hello, Span(300)).await;
+    // A peer that the leader can't reach reads of it in the state service.
+    let (_, told) = tokio::join!(peers::ask_all(node, &hello, Span(300)), name_heir(node, office, &hello.heir));
+    node.heard_state(&told);
     // Unanswered, the lease ends by itself.
     let ended = node.state.end(&node.http, office.hold).await;
     node.heard_state(&ended);
 }
 
+async fn name_heir(node: &Arc<Node>, office: Office, heir: &str) -> Result<(), StateError> {
+    let hold = node.state.hold(&node.http, YIELD).await?;
+    let txn = Txn {
+        guards: vec![Guard { path: LEADER_KEY.into(), stamp: office.term.0 }],
+        apply: vec![Change::Write { write: HEIR_KEY.into(), value: json!(heir), tenure: Some(hold.0) }],
+    };
+    node.state.commit(&node.http, &txn).await.map(drop)
+}
+
+/// Whether a leader that has just handed over named somebody else.
+async fn must_yield(node: &Arc<Node>) -> bool {
+    let row = node.state.get(&node.http, HEIR_KEY).await;
+    node.heard_state(&row);
+    matches!(row, Ok(Some(row)) if row.value.as_str() != Some(&node.settings.name))
+}
+
 fn renewed_late(node: &Node, asked_at: crate::time::Mono) -> bool {
     node.now() - asked_at > Span(1_000)
 }
--- a/src/net/leading.rs
+++ b/src/net/leading.rs
@@ -15,6 +15,7 @@
 use hyper::Method;
 use log::{debug, info, warn};
 use serde_json::json;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 pub const KINDS_KEY: &str = "ctl/kinds";
@@ -249,18 +250,20 @@
         let mut hello = peers::hello(node);
         hello.leading = true;
         hello.term = term.0;
+        let mut machines = 0;
         {
             let mut i = node.lock();
             let now = node.now();
             if let Some(l) = &i.leader {
                 hello.counts = l.counts();
-                hello.silent = l.silent_machines(now).0;
+                (hello.silent, machines) = l.silent_machines(now);
             }
             i.take_counts(&hello.counts);
         }
         let answers = peers::ask_all(node, &hello, Span(800)).await;
-        suspicion = judge(node, &answers, suspicion);
-        tokio::time::sleep(Span(1_000).std()).await;
+        suspicion = judge(node, &answers, hello.silent.len(), machines, suspicion);
+        let pause = if suspicion > 0 { Span(300) } else { Span(1_000) };
+        tokio::time::sleep(pause.std()).await;
     }
     info!("no longer leading: term={term}");
 }
@@ -268,21 +271,26 @@
 /// Takes in what the peers have said, and names an heir if it is this controller that the workers
 /// can't reach. Once may be chance, as workers that have just lost their leader stray for a moment:
 /// returns how often in a row it looked so.
-fn judge(node: &Node, answers: &[Option<HelloAnswer>], before: u32) -> u32 {
+fn judge(node: &Node, answers: &[Option<HelloAnswer>], silent: usize, all: usize, before: u32) -> u32 {
     let now = node.now();
     let mut inner = node.lock();
     let Some(l) = &mut inner.leader else { return 0 };
-    let (silent, all) = l.silent_machines(now);
-    let silent = silent.len();
-    let mut heir = None;
+    // Workers go round the controllers, so no single peer hears all of them at once.
+    let mut strays: BTreeSet<&str> = BTreeSet::new();
+    let mut heir: Option<(usize, &str)> = None;
     for (peer, a) in node.settings.peers.iter().zip(answers) {
         let Some(a) = a else { continue };
         l.peer_answered(now, &peer.name);
-        if a.state_ok && l.settled(now) && should_hand_over(silent, a.strays, all) {
-            heir = Some(peer.name.clone());
+        strays.extend(a.strays.iter().map(String::as_str));
+        if a.state_ok {
+            heir = heir.max(Some((a.strays.len(), &peer.name)));
         }
     }
-    let Some(name) = heir else { return 0 };
+    let Some((1.., name)) = heir else { return 0 };
+    if !l.settled(now) || !should_hand_over(silent, strays.len(), all) {
+        return 0;
+    }
+    let name = name.to_string();
     if before >= 1 || silent * 2 >= all {
         warn!("handing over: silent={silent} machines={all} heir={name}");
         inner.heir = Some(name);
--- a/src/net/loopback.rs
+++ b/src/net/loopback.rs
@@ -4,6 +4,7 @@
 use super::node::Node;
 use super::{election, leading, server};
 use crate::config::{Tuning, sample_settings};
+use crate::core::leadership::{HEIR_KEY, LEADER_KEY};
 use crate::time::Span;
 use crate::wire::{Change, Order, Txn};
 use hyper::Method;
@@ -310,3 +311,28 @@
     assert_eq!(c.post("/api/jobs", job("req-000004", 1)).await.0, 503);
     assert!(!world.lock().unwrap().store.contains_key("live/req-000004"));
 }
+
+#[tokio::test]
+async fn a_named_heir_is_waited_for_and_a_worker_is_not_sent_to_and_fro() {
+    // With two zones parted, a leader in one handed over to a controller that heard both, and one in
+    // the other zone, which it couldn't tell, took the office first.
+    let world = Arc::new(Mutex::new(World::default()));
+    world.lock().unwrap().store.insert(HEIR_KEY.into(), (json!("plinth-1"), 1));
+    let (node, c) = controller(&world, false);
+    tokio::spawn(leading::learn_types(node.clone()));
+    tokio::spawn(election::run(node.clone()));
+    tokio::time::sleep(Span(1_500).std()).await;
+    assert!(!world.lock().unwrap().store.contains_key(LEADER_KEY));
+
+    // Named a leader and back again, a worker is let go on to the next controller.
+    let other = json!({"node": "plinth-1", "incarnation": 1, "hold": 7});
+    world.lock().unwrap().store.insert(LEADER_KEY.into(), (other, 2));
+    until(async || node.lock().leader_name.is_some()).await;
+    let r = json!({"plinth": "m-000009", "endpoint": "", "build": "g8", "quay": "a", "loaner": false,
+        "shift": 1, "tally": 1, "baton": 0});
+    assert_eq!(c.post("/v1/report", r.clone()).await, (421, json!({"steward": "plinth-1"})));
+    assert_eq!(c.post("/v1/report", r).await, (421, json!({})));
+
+    world.lock().unwrap().store.clear();
+    until(async || world.lock().unwrap().store.contains_key(LEADER_KEY)).await;
+}
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -53,15 +53,20 @@
     pub heir: Option<String>,
 }
 
-const STRAY_FOR: Span = Span(4_000);
-const MAX_STRAYS: usize = 4_096;
+/// A worker that has lost its leader may take this long to come round to a controller again.
+const STRAY_FOR: Span = Span(8_000);
+/// Far more machines than any fleet served has; a fleet beyond it only loses track of strays.
+const MAX_STRAYS: usize = 65_536;
 
 impl Inner {
-    pub fn note_stray(&mut self, machine: &str, now: Mono) {
+    /// Notes that a machine tried to report here. True: it did so before, a short while ago. Sent to
+    /// the leader then, it has found that it can't reach it, and would only be sent to and fro.
+    pub fn note_stray(&mut self, machine: &str, now: Mono) -> bool {
         if self.strays.len() >= MAX_STRAYS {
             self.strays.clear();
         }
-        self.strays.insert(machine.into(), now);
+        let before = self.strays.insert(machine.into(), now);
+        before.is_some_and(|t| now - t <= STRAY_FOR)
     }
 
     /// The leader's counts of its live jobs, which users are shown.
@@ -69,9 +74,10 @@
         self.counts = counts.iter().filter_map(|c| Some((JobId::parse(&c.job)?, c.clone()))).collect();
     }
 
-    pub fn count_strays(&mut self, now: Mono) -> u32 {
+    /// Of these machines, those that have lately tried to report here.
+    pub fn strays_among(&mut self, machines: &[String], now: Mono) -> Vec<String> {
         self.strays.retain(|_, t| now - *t <= STRAY_FOR);
-        self.strays.len() as u32
+        machines.iter().filter(|m| self.strays.contains_key(*m)).cloned().collect()
     }
 }
 
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -40,6 +40,7 @@
     let hello = Hello::decode(body).ok().filter(|h| h.version == VERSION)?;
     let now = node.now();
     let mut i = node.lock();
+    let strays = i.strays_among(&hello.silent, now);
     if hello.leading && !hello.hold_on {
         i.silent = hello.silent.into_iter().collect();
         i.take_counts(&hello.counts);
@@ -49,7 +50,6 @@
     }
     let promise = if hello.hold_on { i.leadership.promise_to(now) } else { Span(0) };
     let state_ok = !i.leadership.is_refused();
-    let strays = i.count_strays(now);
     let leader = i.leader_name.clone().filter(|_| state_ok).unwrap_or_default();
     Some(HelloAnswer { version: VERSION, state_ok, promise_ms: promise.0, strays, leader }.encode_to_vec())
 }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -50,9 +50,9 @@
     /// For this long the answering controller will not try to lead; 0 is a no.
     #[prost(uint64, tag = "3")]
     pub promise_ms: u64,
-    /// Machines that have lately tried to report here, though another leads.
-    #[prost(uint32, tag = "4")]
-    pub strays: u32,
+    /// Of the machines that the asking leader doesn't hear, those that have lately tried here.
+    #[prost(string, repeated, tag = "4")]
+    pub strays: Vec<String>,
     /// Who leads, as far as the answering controller has read it from the state service.
     #[prost(string, tag = "5")]
     pub leader: String,
