Outgoing connections have a limit of their own, and orders never take the workers' sockets

Ruled out: users (under 200). Beyond the limit connections fail, and an order that can't be sent counts as unknown. Peers' share falls from a tenth to 3 in 100.

--- a/src/config.rs
+++ b/src/config.rs
@@ -194,6 +194,28 @@
     }
 }
 
+/// What the platform's limit on sockets is spent on. Each worker keeps one connection to the leader;
+/// orders go over connections of their own, which are few enough to leave the workers theirs.
+pub struct Sockets {
+    /// Users, workers and health checks.
+    pub public: usize,
+    /// Peers that call here.
+    pub peers: usize,
+    /// Calls to the state service, the cloud and peers.
+    pub own: usize,
+    /// Orders to workers.
+    pub orders: usize,
+}
+
+impl Settings {
+    pub fn sockets(&self) -> Sockets {
+        let all = self.cluster.limits.sockets;
+        let part = |percent: usize, least: usize| (all * percent / 100).max(least);
+        // Two in a hundred are left for listeners, logs and the runtime.
+        Sockets { public: part(70, 1), peers: part(3, 8), own: part(3, 8), orders: part(22, 4) }
+    }
+}
+
 /// The operators' settings. All are optional; docs/operations.md explains each.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Tuning {
@@ -356,6 +378,18 @@
         }
     }
 
+    #[test]
+    fn the_sockets_suffice_for_a_worker_each() {
+        let mut s = sample_settings();
+        // The least that platforms have promised for a fleet, with room for users.
+        for (limit, workers) in [(1_721, 740), (3_482, 1_982)] {
+            s.cluster.limits.sockets = limit;
+            let x = s.sockets();
+            assert!(x.public > workers * 11 / 10);
+            assert!(x.public + x.peers + x.own + x.orders <= limit * 98 / 100);
+        }
+    }
+
     #[test]
     fn the_goal_is_the_next_aim_that_can_still_be_met() {
         let mut s = sample_settings();
--- a/src/main.rs
+++ b/src/main.rs
@@ -76,10 +76,9 @@
         log::info!("starting {} on {}", node.settings.name, node.settings.listen);
         tokio::spawn(net::leading::learn_types(node.clone()));
         tokio::spawn(net::election::run(node.clone()));
-        // The rest of the sockets is for requests of our own.
-        let sockets = node.settings.cluster.limits.sockets;
-        let users = net::server::serve(node.settings.listen, net::server::public(&node), (sockets * 7 / 10).max(1));
-        let peers = net::server::serve(node.settings.peer_listen, net::server::internal(&node), (sockets / 10).max(8));
+        let sockets = node.settings.sockets();
+        let users = net::server::serve(node.settings.listen, net::server::public(&node), sockets.public);
+        let peers = net::server::serve(node.settings.peer_listen, net::server::internal(&node), sockets.peers);
         // Neither listener ever ends in good order.
         tokio::select! { r = users => r, r = peers => r }
     })
--- a/src/net/leading.rs
+++ b/src/net/leading.rs
@@ -118,7 +118,7 @@
     match action {
         Action::Orders { ticket, endpoint, body } => {
             let body = serde_json::to_vec(&body).unwrap_or_default();
-            let answer = node.http.call(Method::POST, &endpoint, "/orders", body, Span(2_000)).await;
+            let answer = node.orders.call(Method::POST, &endpoint, "/orders", body, Span(2_000)).await;
             let report = |b: &[u8]| serde_json::from_slice::<Report>(b).ok();
             let result = match answer {
                 Ok((200, b)) => report(&b).map_or(OrdersResult::Unknown, OrdersResult::Executed),
--- a/src/net/loopback.rs
+++ b/src/net/loopback.rs
@@ -198,7 +198,7 @@
     settings.services.state = stand_in(world, Part::State);
     settings.services.cloud = stand_in(world, Part::Cloud);
     world.lock().unwrap().worker = stand_in(world, Part::Worker).to_string();
-    let c = Client { http: Http::new(), addr: settings.listen.to_string() };
+    let c = Client { http: Http::new(16), addr: settings.listen.to_string() };
     let node = Node::new(settings, Tuning::default());
     tokio::spawn(server::serve(node.settings.listen, server::public(&node), 64));
     (node, c)
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -19,6 +19,8 @@
     pub settings: Settings,
     pub tuning: Tuning,
     pub http: Http,
+    /// The same for orders to workers, which are many more than all else that is called.
+    pub orders: Http,
     pub state: StateClient,
     pub cloud: CloudClient,
     /// Tells this process from earlier ones at the same address.
@@ -110,6 +112,7 @@
 impl Node {
     pub fn new(settings: Settings, tuning: Tuning) -> Arc<Node> {
         let cloud = CloudClient::new(settings.services.cloud.to_string(), settings.cluster.cloud.rps);
+        let sockets = settings.sockets();
         let state = StateClient::new(settings.services.state.to_string());
         let inner = Inner {
             leadership: Leadership::new(settings.state_ttl()),
@@ -131,7 +134,8 @@
         Arc::new(Node {
             settings,
             tuning,
-            http: Http::new(),
+            http: Http::new(sockets.own),
+            orders: Http::new(sockets.orders),
             state,
             cloud,
             incarnation: rand::random::<u64>() >> 1,
