A new leader's workers are sent to it, not past it

Peers were told that all machines which hadn't found the new leader after 3 s were silent, and let them go on round the controllers, two of which were behind a cut; and a worker turned away by a controller about to start was let go on as well. Only a machine that has been heard by this leader, or hasn't for a whole lease, is called silent; only a worker that has waited its 4 s in vain is let go on.

--- a/src/core/leader/machines.rs
+++ b/src/core/leader/machines.rs
@@ -151,7 +151,7 @@
     /// Long enough in office that workers which can find this leader have done so. Before that,
     /// silence proves nothing, and two leaders would hand the office to and fro.
     pub fn settled(&self, now: Mono) -> bool {
-        now - self.since > self.p.lease.times(0.5)
+        now - self.since > self.p.lease
     }
 
     /// Machines that should report but don't, and how many should.
@@ -159,7 +159,9 @@
         // Less than what makes a machine unusable: a cut leaves little time to find another leader.
         let limit = self.p.report.times(1.25) + Span(500);
         let ours = || self.machines.iter().filter(|(_, m)| m.commission == Commission::Yes && !m.doomed);
-        let silent = ours().filter(|(_, m)| now - m.last_report.max(self.since) > limit);
+        // Those on their way to a new leader must still be sent to it.
+        let settled = self.settled(now);
+        let silent = ours().filter(|(_, m)| (settled || m.confirmed) && now - m.last_report.max(self.since) > limit);
         (silent.map(|(id, _)| id.to_string()).collect(), ours().count())
     }
 
--- a/src/core/leader/tests.rs
+++ b/src/core/leader/tests.rs
@@ -370,3 +370,17 @@
     assert_eq!(lent(&mut l, Mono(1_000), &BTreeSet::new()), 1, "not forgotten at once");
     assert_eq!(lent(&mut l, Mono(200_000), &BTreeSet::new()), 4);
 }
+
+#[test]
+fn machines_on_their_way_to_a_new_leader_are_not_called_silent() {
+    // Peers let a machine that the leader calls silent go on to the next controller. Called so 3 s
+    // after a restart, most workers were sent past it and lost all they had.
+    let mut rig = Rig::new(3);
+    let names = |rig: &Rig| rig.leader.silent_machines(Mono(rig.now)).0;
+    rig.workers.retain(|name, _| name == "w0");
+    rig.run(5_000);
+    assert_eq!(names(&rig), Vec::<String>::new());
+    rig.workers.clear();
+    rig.run(4_000);
+    assert_eq!(names(&rig), ["m-000000"], "it was heard, and is no more");
+}
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -48,27 +48,38 @@
     /// Who leads, by the word of a peer that the state service answers.
     pub leader_by_peers: Option<String>,
     /// Machines that have reported here while another led, and when.
-    pub strays: HashMap<String, Mono>,
+    strays: HashMap<String, Stray>,
     /// Machines that the leader has said it doesn't hear from.
     pub silent: HashSet<String>,
     /// The peer that this controller's office should go to.
     pub heir: Option<String>,
 }
 
+/// Workers wait this long for an answer (PROTOCOL).
+const IN_VAIN: Span = Span(4_000);
+
+struct Stray {
+    at: Mono,
+    /// Whom it was sent to.
+    sent_to: Option<String>,
+}
+
 /// A worker that has lost its leader may take this long to come round to a controller again.
 const STRAY_FOR: Span = Span(8_000);
 /// Far more machines than any fleet served has; a fleet beyond it only loses track of strays.
 const MAX_STRAYS: usize = 65_536;
 
 impl Inner {
-    /// Notes that a machine tried to report here. True: it did so before, a short while ago. Sent to
-    /// the leader then, it has found that it can't reach it, and would only be sent to and fro.
-    pub fn note_stray(&mut self, machine: &str, now: Mono) -> bool {
+    /// Notes that a machine tried to report here, and says which controller to send it to. One that
+    /// has waited there in vain and comes back can't reach it, and would only be sent to and fro. One
+    /// that was turned away at once is sent again: that controller may be about to start.
+    pub fn note_stray(&mut self, machine: &str, now: Mono, leader: Option<String>) -> Option<String> {
         if self.strays.len() >= MAX_STRAYS {
             self.strays.clear();
         }
-        let before = self.strays.insert(machine.into(), now);
-        before.is_some_and(|t| now - t <= STRAY_FOR)
+        let before = self.strays.insert(machine.into(), Stray { at: now, sent_to: leader.clone() });
+        let waited = |b: &Stray| (IN_VAIN..=STRAY_FOR).contains(&(now - b.at));
+        leader.filter(|l| before.is_none_or(|b| !waited(&b) || b.sent_to.as_ref() != Some(l)))
     }
 
     /// The leader's counts of its live jobs, which users are shown.
@@ -78,7 +89,7 @@
 
     /// Of these machines, those that have lately tried to report here.
     pub fn strays_among(&mut self, machines: &[String], now: Mono) -> Vec<String> {
-        self.strays.retain(|_, t| now - *t <= STRAY_FOR);
+        self.strays.retain(|_, s| now - s.at <= STRAY_FOR);
         machines.iter().filter(|m| self.strays.contains_key(*m)).cloned().collect()
     }
 }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -92,11 +92,11 @@
         let (term, loaded, steward) = {
             let mut i = node.lock();
             let term = i.leadership.acting(now);
-            let again = term.is_none() && i.note_stray(&r.machine, now);
             // A worker that the leader doesn't hear would only wait there in vain. And a name read
             // before the state service fell silent may send it round in circles; peers may know.
             let known = if i.refused_since.is_some() { &i.leader_by_peers } else { &i.leader_name };
-            let steward = if again || i.silent.contains(&r.machine) { None } else { known.clone() };
+            let steward = if i.silent.contains(&r.machine) { None } else { known.clone() };
+            let steward = if term.is_none() { i.note_stray(&r.machine, now, steward) } else { None };
             (term, i.leader.is_some(), steward)
         };
         if let Some(term) = term {
