--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -19,6 +19,8 @@
     pub settings: Settings,
     pub tuning: Tuning,
     pub http: Http,
+    /// The same for orders to workers, which are many more than all else that is called.
+    pub orders: Http,
     pub state: StateClient,
     pub cloud: CloudClient,
     /// Tells this process from earlier ones at the same address.
@@ -46,27 +48,38 @@
     /// Who leads, by the word of a peer that the state service answers.
     pub leader_by_peers: Option<String>,
     /// Machines that have reported here while another led, and when.
-    pub strays: HashMap<String, Mono>,
+    strays: HashMap<String, Stray>,
     /// Machines that the leader has said it doesn't hear from.
     pub silent: HashSet<String>,
     /// The peer that this controller's office should go to.
     pub heir: Option<String>,
 }
 
+/// Workers wait this long for an answer (PROTOCOL).
+const IN_VAIN: Span = Span(4_000);
+
+struct Stray {
+    at: Mono,
+    /// Whom it was sent to.
+    sent_to: Option<String>,
+}
+
 /// A worker that has lost its leader may take this long to come round to a controller again.
 const STRAY_FOR: Span = Span(8_000);
 /// Far more machines than any fleet served has; a fleet beyond it only loses track of strays.
 const MAX_STRAYS: usize = 65_536;
 
 impl Inner {
-    /// Notes that a machine tried to report here. True: it did so before, a short while ago. Sent to
-    /// the leader then, it has found that it can't reach it, and would only be sent to and fro.
-    pub fn note_stray(&mut self, machine: &str, now: Mono) -> bool {
+    /// Notes that a machine tried to report here, and says which controller to send it to. One that
+    /// has waited there in vain and comes back can't reach it, and would only be sent to and fro. One
+    /// that was turned away at once is sent again: that controller may be about to start.
+    pub fn note_stray(&mut self, machine: &str, now: Mono, leader: Option<String>) -> Option<String> {
         if self.strays.len() >= MAX_STRAYS {
             self.strays.clear();
         }
-        let before = self.strays.insert(machine.into(), now);
-        before.is_some_and(|t| now - t <= STRAY_FOR)
+        let before = self.strays.insert(machine.into(), Stray { at: now, sent_to: leader.clone() });
+        let waited = |b: &Stray| (IN_VAIN..=STRAY_FOR).contains(&(now - b.at));
+        leader.filter(|l| before.is_none_or(|b| !waited(&b) || b.sent_to.as_ref() != Some(l)))
     }
 
     /// The leader's counts of its live jobs, which users are shown.
@@ -76,7 +89,7 @@
 
     /// Of these machines, those that have lately tried to report here.
     pub fn strays_among(&mut self, machines: &[String], now: Mono) -> Vec<String> {
-        self.strays.retain(|_, t| now - *t <= STRAY_FOR);
+        self.strays.retain(|_, s| now - s.at <= STRAY_FOR);
         machines.iter().filter(|m| self.strays.contains_key(*m)).cloned().collect()
     }
 }
@@ -110,6 +123,7 @@
 impl Node {
     pub fn new(settings: Settings, tuning: Tuning) -> Arc<Node> {
         let cloud = CloudClient::new(settings.services.cloud.to_string(), settings.cluster.cloud.rps);
+        let sockets = settings.sockets();
         let state = StateClient::new(settings.services.state.to_string());
         let inner = Inner {
             leadership: Leadership::new(settings.state_ttl()),
@@ -131,7 +145,8 @@
         Arc::new(Node {
             settings,
             tuning,
-            http: Http::new(),
+            http: Http::new(sockets.own),
+            orders: Http::new(sockets.orders),
             state,
             cloud,
             incarnation: rand::random::<u64>() >> 1,
