--- a/src/core/leader/mod.rs
+++ b/src/core/leader/mod.rs
@@ -141,8 +141,9 @@
     team_names: Vec<String>,
     /// For each type the most that a GPU job has asked of it.
     gpu_needs: Vec<Amount>,
-    /// For each zone the most GPUs that jobs have wanted, fading to what they want now.
+    /// The most GPUs that jobs have had in each zone and waited for in all, fading to what it is now.
     gpus_wanted: Vec<f64>,
+    gpus_awaited: f64,
     lent_at: Mono,
     /// GPU machines that plain work may fill, as of the last round.
     lent: BTreeSet<MachineId>,
@@ -259,6 +260,7 @@
             term,
             since: now,
             gpus_wanted: vec![0.0; zones.len()],
+            gpus_awaited: 0.0,
             lent_at: now,
             lent: BTreeSet::new(),
             zones,
--- a/src/core/leader/room.rs
+++ b/src/core/leader/room.rs
@@ -60,35 +60,38 @@
     /// wanted lately, and those first that do such work already. Filled as they come free, they
     /// would be cleared for the next GPU job, and what ran there would start over each time.
     pub(super) fn lend(&mut self, now: Mono, waiting: &BTreeSet<JobId>) {
-        let mut total = vec![0.0; self.zones.len()];
+        let mut left = vec![0.0; self.zones.len()];
         let mut wanted = vec![0.0; self.zones.len()];
         let mut idle: Vec<(f64, &MachineId, &Machine)> = Vec::new();
         for (id, m) in self.machines.iter().filter(|(_, m)| m.up && !m.doomed && self.types[m.kind].gpus > 0.0) {
-            total[m.zone as usize] += self.types[m.kind].gpus;
+            left[m.zone as usize] += self.types[m.kind].gpus;
             let used = m.used();
             wanted[m.zone as usize] += used.gpus;
             if used.gpus <= 0.0 {
                 idle.push((used.cpus, id, m));
             }
         }
-        // What waits may go to any zone.
         let jobs = waiting.iter().filter_map(|id| self.jobs.get(id));
         let waits: f64 = jobs.map(|j| j.ready.len() as f64 * j.spec.gpus).sum();
-        let all: f64 = total.iter().sum();
         let fade = ((now - self.lent_at).as_secs() / GPU_MEMORY_S).min(1.0);
         self.lent_at = now;
-        for ((peak, wanted), total) in self.gpus_wanted.iter_mut().zip(wanted).zip(&mut total) {
-            let w = wanted + if all > 0.0 { waits * *total / all } else { 0.0 };
-            *peak = w.max(*peak + (w - *peak) * fade);
-            *total -= *peak;
+        let recall = |peak: &mut f64, now: f64| {
+            *peak = now.max(*peak + (now - *peak) * fade);
+            *peak
+        };
+        for ((peak, wanted), left) in self.gpus_wanted.iter_mut().zip(wanted).zip(&mut left) {
+            *left -= recall(peak, wanted);
         }
+        // What waits may go to any zone.
+        let mut all = left.iter().sum::<f64>() - recall(&mut self.gpus_awaited, waits);
         idle.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(b.1)));
         let mut lent = BTreeSet::new();
         for (_, id, m) in idle {
-            let left = &mut total[m.zone as usize];
+            let left = &mut left[m.zone as usize];
             let gpus = self.types[m.kind].gpus;
-            if *left >= gpus {
+            if left.min(all) >= gpus {
                 *left -= gpus;
+                all -= gpus;
                 lent.insert(id.clone());
             }
         }
