--- a/src/core/leader/room.rs
+++ b/src/core/leader/room.rs
@@ -4,7 +4,7 @@
 
 /// How long the most GPUs that jobs have wanted are kept free for them, about a run's time of the
 /// work that could have had them.
-const GPU_MEMORY_S: f64 = 4.0;
+const GPU_MEMORY_S: f64 = 15.0;
 
 impl Leader {
     /// Tasks that found no machine that is up: preemption, and the paper's second fall-back.
