Answers beyond the client's limit are told from none; done tasks that wait for their bits cost a look-up

Found in reading: what follows the jobs has no limit on an answer and the client one of 4 MB; beyond it the leader would have asked for the same changes for ever. It reads the jobs in pages now. The peers' limit on a message allows for the view of a far larger fleet (16 MiB). Half of what workers of a busy fleet list are done tasks that wait to be durable; they are checked off like running ones.

--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -269,6 +269,11 @@
         !broken && !self.done.contains(task.index as usize)
     }
 
+    /// Whether the state service holds that the task is done.
+    pub fn is_durable(&self, index: u32) -> bool {
+        self.durable.contains(index as usize)
+    }
+
     /// A job that fails on several machines is itself at fault.
     pub fn at_fault(&self) -> bool {
         self.error_machines.len() >= 2 && self.done_count == 0
--- a/src/core/leader/workers.rs
+++ b/src/core/leader/workers.rs
@@ -150,6 +150,10 @@
             let job = self.jobs.get(&task.job);
             match m.slots.get_mut(&key) {
                 Some(s) if s.as_before(lot.phase) && job.is_some_and(|j| j.goes_on(&key)) => s.listed = m.listing,
+                // Done, and kept by the worker until that is durable.
+                Some(s) if s.exited() && lot.is_done() && job.is_some_and(|j| !j.is_durable(task.index)) => {
+                    s.listed = m.listing;
+                }
                 _ => news.push((key, lot)),
             }
         }
@@ -227,7 +231,7 @@
         }
         // The worker may forget it once a done task is durably so; other ends need no keeping.
         let durable = match self.jobs.get(&task.job) {
-            Some(j) if lot.cause == Some(Cause::Done) => j.durable.contains(task.index as usize),
+            Some(j) if lot.is_done() => j.is_durable(task.index),
             _ => true,
         };
         if durable && let Some(m) = self.machines.get_mut(id) {
--- a/src/net/election.rs
+++ b/src/net/election.rs
@@ -109,7 +109,7 @@
     match result {
         Ok(Ok(epoch)) => term = Some(Term(epoch)),
         Ok(Err(_)) | Err(StateError::Refused | StateError::Busy | StateError::Status(_)) => {}
-        Err(StateError::Unknown(_)) => {
+        Err(StateError::Unknown(_) | StateError::TooLarge) => {
             // Perhaps carried out, perhaps yet to be: the key says, or the lease is ended so that
             // it never can be.
             loop {
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -3,7 +3,7 @@
 
 use crate::time::Span;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::{Method, Request, Uri};
 use hyper_util::client::legacy::connect::{Connected, Connection, HttpConnector};
@@ -24,6 +24,8 @@
     Request(#[from] hyper::http::Error),
     #[error("no answer in time")]
     Timeout,
+    #[error("an answer of over {MAX_ANSWER} bytes")]
+    TooLarge,
     #[error("{0}")]
     Exchange(String),
 }
@@ -148,7 +150,10 @@
             let answer = self.client.request(request).await?;
             let status = answer.status().as_u16();
             let body = Limited::new(answer.into_body(), MAX_ANSWER).collect().await;
-            let body = body.map_err(|e| HttpError::Exchange(e.to_string()))?;
+            let body = body.map_err(|e| match e.is::<LengthLimitError>() {
+                true => HttpError::TooLarge,
+                false => HttpError::Exchange(e.to_string()),
+            })?;
             Ok((status, body.to_bytes()))
         };
         tokio::time::timeout(limit.std(), exchange).await.map_err(|_| HttpError::Timeout)?
@@ -189,6 +194,23 @@
         (addrs, open)
     }
 
+    #[tokio::test]
+    async fn an_answer_beyond_the_limit_is_told_from_none() {
+        // Changes to follow have no limit: the reader must know that it has to read in pages instead.
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap().to_string();
+        tokio::spawn(async move {
+            let (mut c, _) = listener.accept().await.unwrap();
+            let mut buf = [0u8; 1024];
+            let _ = c.read(&mut buf).await;
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", MAX_ANSWER + 1);
+            let _ = c.write_all(head.as_bytes()).await;
+            let _ = c.write_all(&vec![b' '; MAX_ANSWER + 1]).await;
+        });
+        let answer = Http::new(4).call(Method::GET, &addr, "/follow", vec![], Span(5_000)).await;
+        assert!(matches!(answer, Err(HttpError::TooLarge)));
+    }
+
     #[tokio::test]
     async fn more_hosts_than_sockets_are_all_served() {
         // A leader of 2,000 machines kept a connection to each that it had sent an order, until it
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -13,7 +13,9 @@
 
 /// The limit of the protocol on a request's body.
 const MAX_BODY: usize = 64 * 1024;
-const MAX_PEER_BODY: usize = 2 << 20;
+/// A view of a few thousand machines, with the images of each, has one or two MB. One beyond this is
+/// refused and logged, and the leader plans that part itself.
+const MAX_PEER_BODY: usize = 16 << 20;
 
 #[derive(Clone, Copy)]
 enum Route {
--- a/src/net/state.rs
+++ b/src/net/state.rs
@@ -1,6 +1,6 @@
 //! Client of the state service.
 
-use super::http::Http;
+use super::http::{Http, HttpError};
 use crate::core::leader::CommitResult;
 use crate::ids::Hold;
 use crate::time::Span;
@@ -21,6 +21,9 @@
     /// Perhaps carried out.
     #[error("no answer: {0}")]
     Unknown(String),
+    /// The answer is over this controller's limit.
+    #[error("too large an answer")]
+    TooLarge,
     /// An answer that the protocol doesn't foresee.
     #[error("status {0}")]
     Status(u16),
@@ -63,6 +66,7 @@
             Ok((503, _)) => Err(StateError::Refused),
             Ok((429, _)) => Err(StateError::Busy),
             Ok(answer) => Ok(answer),
+            Err(HttpError::TooLarge) => Err(StateError::TooLarge),
             Err(e) => Err(StateError::Unknown(e.to_string())),
         }
     }
@@ -132,13 +136,14 @@
         }
     }
 
-    /// Changes after `since`; None: too old, all must be read again.
+    /// Changes after `since`; None: too old or too many, all must be read again, in pages.
     pub async fn follow(&self, http: &Http, prefix: &str, since: u64, block: Span) -> Result<Option<Log>, StateError> {
         let path = format!("/follow?prefix={prefix}&since={since}&block_ms={}", block.0);
-        match self.call(http, Method::GET, &path, vec![], Span(block.0 + 2_000)).await? {
-            (200, body) => parse(&body).map(Some),
-            (410, _) => Ok(None),
-            (s, _) => Err(StateError::Status(s)),
+        match self.call(http, Method::GET, &path, vec![], Span(block.0 + 2_000)).await {
+            Ok((200, body)) => parse(&body).map(Some),
+            Ok((410, _)) | Err(StateError::TooLarge) => Ok(None),
+            Ok((s, _)) => Err(StateError::Status(s)),
+            Err(e) => Err(e),
         }
     }
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -128,6 +128,12 @@
     pub kept: Option<bool>,
 }
 
+impl LotReport {
+    pub fn is_done(&self) -> bool {
+        self.phase == LotPhase::Exited && self.cause == Some(Cause::Done)
+    }
+}
+
 /// One odd name must not make the whole report unreadable: unanswered, its machine would be lost.
 fn task_if_any<'de, D: Deserializer<'de>>(d: D) -> Result<Option<TaskId>, D::Error> {
     let name = Cow::<str>::deserialize(d)?;
