--- /dev/null
+++ b/benches/support/worker.rs
@@ -0,0 +1,93 @@
+//! A simulated worker: executes orders at once and ends its tasks after a fixed time.
+
+use std::collections::BTreeMap;
+use wallstile::ids::{Attempt, FencingToken, Session, Tally, TaskId};
+use wallstile::wire::{Cause, LotPhase, LotReport, Order, Report};
+
+/// How long each task runs.
+pub const RUN_MS: u64 = 20_000;
+/// The distance between two regular reports.
+pub const REPORT_MS: u64 = 1_500;
+/// Every so many machines are of the large kind.
+const LARGE_EVERY: usize = 8;
+const SMALL_CPUS: f64 = 8.0;
+const LARGE_CPUS: f64 = 64.0;
+
+/// Processors of all machines of a simulated fleet.
+pub fn fleet_cpus(machines: usize) -> f64 {
+    (0..machines).map(|i| if i.is_multiple_of(LARGE_EVERY) { LARGE_CPUS } else { SMALL_CPUS }).sum()
+}
+
+pub struct Worker {
+    pub report: Report,
+    /// When each listed task that runs will end.
+    ends: BTreeMap<(TaskId, Attempt), u64>,
+    pub report_at: u64,
+}
+
+impl Worker {
+    /// The worker of one of so many machines; their reports are spread over the reporting interval.
+    pub fn new(index: usize, machines: usize, endpoint: String) -> Worker {
+        let report = Report {
+            machine: format!("m-{index:06}"),
+            endpoint,
+            kind: if index.is_multiple_of(LARGE_EVERY) { "large" } else { "small" }.into(),
+            zone: if index.is_multiple_of(2) { "a" } else { "b" }.into(),
+            spot: false,
+            session: Session(1),
+            tally: Tally(0),
+            token: FencingToken::NONE,
+            notice_s: None,
+            lots: Vec::new(),
+        };
+        Worker { report, ends: BTreeMap::new(), report_at: index as u64 * REPORT_MS / machines as u64 }
+    }
+
+    pub fn execute(&mut self, now: u64, orders: &[Order]) {
+        for order in orders {
+            match order {
+                Order::Run { lot, attempt } => {
+                    let lot_report = LotReport {
+                        lot: Some(*lot),
+                        attempt: *attempt,
+                        phase: LotPhase::Running,
+                        cause: None,
+                        kept: None,
+                    };
+                    self.report.lots.push(lot_report);
+                    self.ends.insert((*lot, *attempt), now + RUN_MS);
+                }
+                Order::Stop { lot, attempt, .. } => {
+                    let same = |l: &&mut LotReport| l.lot == Some(*lot) && l.attempt == *attempt;
+                    for listed in self.report.lots.iter_mut().filter(same) {
+                        (listed.phase, listed.cause) = (LotPhase::Exited, Some(Cause::Halted));
+                    }
+                }
+                Order::Clear { lot, attempt } => {
+                    self.report.lots.retain(|l| l.lot != Some(*lot) || l.attempt != *attempt);
+                }
+            }
+        }
+    }
+
+    /// The next report, or the answer to orders.
+    pub fn next_report(&mut self) -> Report {
+        self.report.tally = Tally(self.report.tally.0 + 1);
+        self.report.clone()
+    }
+
+    /// Ends tasks that have run their time; true: something has changed.
+    pub fn step(&mut self, now: u64) -> bool {
+        let mut changed = false;
+        for listed in self.report.lots.iter_mut().filter(|l| l.phase != LotPhase::Exited) {
+            let Some(task) = listed.lot else { continue };
+            let key = (task, listed.attempt);
+            if self.ends.get(&key).is_some_and(|t| *t <= now) {
+                (listed.phase, listed.cause) = (LotPhase::Exited, Some(Cause::Done));
+                self.ends.remove(&key);
+                changed = true;
+            }
+        }
+        changed
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -190,7 +190,7 @@
     pub orders: Vec<Order>,
 }
 
-#[derive(Clone, PartialEq, Debug, Serialize)]
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
 pub struct DirectOrders {
     #[serde(rename = "baton")]
     pub token: FencingToken,
