The lease of a worker's session counts from when the session was first heard of

The ledger counted the lease from the last report that was answered, of the session before, found the machine empty up to a lease too early, and started the task a second time (ran_twice). Ruled out: batches of reports, as it happens without any. The new test fails without the guard. The rig of the leader's tests now refuses orders of another session, as workers do.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -115,6 +115,9 @@
     pub since: Mono,
     pub commission: Commission,
     pub session: Session,
+    /// When the session was first heard of. Its lease counts from its beginning, which was before, even
+    /// if no report of it has been answered.
+    pub session_heard_at: Mono,
     pub tally: Tally,
     /// The latest *report*; orders' answers count their tallies on as well, but are no reports.
     pub reported: (Session, Tally),
@@ -164,6 +167,7 @@
             since: now,
             commission: Commission::No,
             session: Session(0),
+            session_heard_at: now,
             tally: Tally(0),
             reported: (Session(0), Tally(0)),
             last_report: now,
--- a/src/core/leader/machines.rs
+++ b/src/core/leader/machines.rs
@@ -43,7 +43,7 @@
         for (id, m) in &mut self.machines {
             // Before this leader, answers may have been given until it took office.
             let answered = m.last_report.max(self.since);
-            if now - answered <= lease {
+            if now - answered.max(m.session_heard_at) <= lease {
                 continue;
             }
             if !m.accounted {
--- a/src/core/leader/mod.rs
+++ b/src/core/leader/mod.rs
@@ -20,7 +20,7 @@
 use crate::core::miser;
 use crate::core::rentals::{Market, Rentals, Request};
 use crate::core::shares::{SHARES_KEY, Shares};
-use crate::ids::{Attempt, FencingToken, JobId, MAX_FENCE, MachineId, Revision, TaskId, Term};
+use crate::ids::{Attempt, FencingToken, JobId, MAX_FENCE, MachineId, Revision, Tally, TaskId, Term};
 use crate::peer::{
     ImageView, JobCount, JobView, MachineView, Offer, PlanInput, PlanOutput, TeamLeft, TypeView, VERSION, Wish,
     ZoneCount,
@@ -341,6 +341,11 @@
         self.guard
     }
 
+    /// Whether a machine has reported under this leader's token, so that answers reach it.
+    pub fn is_confirmed(&self, id: &MachineId) -> bool {
+        self.machines.get(id).is_some_and(|m| m.confirmed)
+    }
+
     /// In doubt nothing is started: what users have been told meanwhile isn't known.
     pub fn set_in_doubt(&mut self, in_doubt: bool) {
         self.in_doubt = in_doubt;
@@ -509,6 +514,14 @@
     }
 }
 
+/// The answer of a leader that is still reading its ledger: it can't tell which tasks are cancelled, so
+/// it renews no lease over any. An answer without a token is dropped, but keeps the worker here.
+pub fn answer_without_ledger(term: Term, report: &Report) -> ReportAnswer {
+    let empty = report.lots.iter().all(|l| l.phase == LotPhase::Exited);
+    let token = if empty { FencingToken::new(term, 0) } else { FencingToken::NONE };
+    ReportAnswer { token, orders: Vec::new() }
+}
+
 /// The parts of a round's view that concern some of its jobs each. All parts see the machines that
 /// are up, each in an order of its own, so that where several are as good the parts choose different
 /// ones. Machines that aren't up are dealt out by what the parts want: counted on by all of them, a
--- a/src/core/leader/tests.rs
+++ b/src/core/leader/tests.rs
@@ -205,10 +205,14 @@
                     Action::Orders { ticket, endpoint, body } => {
                         let result = match self.workers.get_mut(&endpoint) {
                             Some(r) if !self.deaf.contains(&endpoint) => {
-                                r.token = r.token.max(body.token);
-                                Rig::execute(r, &body.orders);
                                 r.tally.0 += 1;
-                                OrdersResult::Executed(r.clone())
+                                if body.token < r.token || body.session != r.session {
+                                    OrdersResult::Rejected(r.clone())
+                                } else {
+                                    r.token = body.token;
+                                    Rig::execute(r, &body.orders);
+                                    OrdersResult::Executed(r.clone())
+                                }
                             }
                             _ => OrdersResult::Unknown,
                         };
@@ -278,6 +282,32 @@
     assert_eq!(rig.leader.jobs[&id].ready.len(), 1, "to be started anew");
 }
 
+#[test]
+fn the_lease_of_a_session_counts_from_when_it_was_first_heard_of() {
+    // A machine was back at once, its new session became known by the answer to an order, and no report
+    // of that session arrived: its lease was counted from the last report of the session before, and its
+    // task started a second time while the first still ran.
+    let mut rig = Rig::new(2);
+    rig.cloud_down = true;
+    rig.run(2_000);
+    rig.mute.insert("w0".into());
+    rig.mute.insert("w1".into());
+    rig.run(2_500);
+    for name in ["w0", "w1"] {
+        let worker = rig.workers.get_mut(name).unwrap();
+        (worker.session, worker.tally, worker.token) = (Session(2), Tally(0), FencingToken::NONE);
+    }
+    let id = rig.submit(200, spec("req-000001", Kind::Array, 1, 8.0));
+    rig.run(1_000);
+    assert_eq!(rig.runs(&id), 1, "ordered in the session that the first answer has told of");
+    let holds = rig.workers.iter().find(|(_, r)| !r.lots.is_empty()).map(|(name, _)| name.clone()).unwrap();
+    rig.mute.retain(|name| *name == holds);
+    rig.run(8_500);
+    assert_eq!(rig.runs(&id), 1, "the session may go on");
+    rig.run(3_000);
+    assert_eq!(rig.runs(&id), 2, "it has ended by now, whatever the model still lists");
+}
+
 #[test]
 fn a_copy_of_a_report_is_no_sign_of_life() {
     let mut rig = Rig::new(2);
--- a/src/core/leader/workers.rs
+++ b/src/core/leader/workers.rs
@@ -130,6 +130,9 @@
         }
         let own = FencingToken::new(self.term, 0);
         let Some(m) = self.machines.get_mut(id) else { return false };
+        if r.session > m.session || m.tally == Tally(0) {
+            m.session_heard_at = now;
+        }
         m.session = r.session;
         m.tally = r.tally;
         let fence = FencingToken::new(self.term, m.fence);
