Controllers that do not lead pass workers' reports on to the leader in batches

Most of its exchanges are workers' reports, one packet each way and two system calls at the least. A controller that does not lead now gathers reports for 100 ms, sends them to the leader as one message and hands each worker the leader's decision. The leader moves confirmed workers to peers that pass reports on. Workers wait only for a leader that has answered the last batch (an empty one at first); otherwise they are redirected as before. Rules: the ledger sees a report that took a longer way; every decision is made by the leader for that very report within its bound. Ruled out: HTTP and JSON as such (the profile is spread over the whole program, no part of the server stands out).

--- a/src/core/sim.rs
+++ b/src/core/sim.rs
@@ -22,6 +22,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 const STEP: u64 = 50;
+const FORWARD_EVERY: u64 = 100;
 
 struct Task {
     phase: LotPhase,
@@ -58,18 +59,72 @@
 
 /// Something on its way; delivered when its time has come.
 enum Mail {
-    Report { leader: u64, worker: usize, sent: u64, report: Report },
-    Answer { worker: usize, sent: u64, session: u64, answer: ReportAnswer },
-    Orders { leader: u64, ticket: u64, worker: usize, token: FencingToken, session: Session, orders: Vec<Order> },
-    OrdersResult { leader: u64, ticket: u64, result: OrdersResult },
-    Commit { leader: u64, ticket: u64, txn: Txn },
-    Committed { leader: u64, ticket: u64, result: CommitResult },
-    Reguard { leader: u64, txn: Txn },
-    ReadKey { leader: u64, txn: Txn },
-    Rented { leader: u64, hire: String, result: RentResult },
-    Returned { leader: u64, names: Vec<String>, ok: bool },
-    Plan { leader: u64, node: String, plan: Option<PlanOutput> },
-    Watch { leader: u64, key: String, value: Option<(Value, u64)> },
+    Report {
+        worker: usize,
+        sent: u64,
+        report: Report,
+    },
+    /// Reports that a controller which does not lead has gathered; all go the same way.
+    Batch {
+        reports: Vec<(usize, u64, Report)>,
+    },
+    Answer {
+        worker: usize,
+        sent: u64,
+        session: u64,
+        answer: ReportAnswer,
+    },
+    Orders {
+        leader: u64,
+        ticket: u64,
+        worker: usize,
+        token: FencingToken,
+        session: Session,
+        orders: Vec<Order>,
+    },
+    OrdersResult {
+        leader: u64,
+        ticket: u64,
+        result: OrdersResult,
+    },
+    Commit {
+        leader: u64,
+        ticket: u64,
+        txn: Txn,
+    },
+    Committed {
+        leader: u64,
+        ticket: u64,
+        result: CommitResult,
+    },
+    Reguard {
+        leader: u64,
+        txn: Txn,
+    },
+    ReadKey {
+        leader: u64,
+        txn: Txn,
+    },
+    Rented {
+        leader: u64,
+        hire: String,
+        result: RentResult,
+    },
+    Returned {
+        leader: u64,
+        names: Vec<String>,
+        ok: bool,
+    },
+    Plan {
+        leader: u64,
+        node: String,
+        plan: Option<PlanOutput>,
+    },
+    Watch {
+        leader: u64,
+        key: String,
+        value: Option<(Value, u64)>,
+    },
 }
 
 pub struct Model {
@@ -81,6 +136,8 @@
     epoch: u64,
     workers: Vec<Worker>,
     mail: Vec<(u64, Mail)>,
+    /// Reports that wait at the controller which passes them on.
+    gathered: Vec<(usize, u64, Report)>,
     leader: Option<Leader>,
     leader_no: u64,
     next_leader_at: u64,
@@ -97,6 +154,8 @@
     away: u64,
     /// How likely a job is called off at a step.
     cancels: f64,
+    /// The share of reports that reach a controller which passes them on.
+    forwarded: f64,
     /// How much longer than usual all mail takes.
     slow: u64,
     next_job: u64,
@@ -133,6 +192,7 @@
             epoch: 0,
             workers: Vec::new(),
             mail: Vec::new(),
+            gathered: Vec::new(),
             leader: None,
             leader_no: 0,
             next_leader_at: 0,
@@ -145,6 +205,7 @@
             ends: 0.002,
             away: 9_000,
             cancels: 0.01,
+            forwarded: 0.5,
             slow: 0,
             next_job: 0,
             faults: true,
@@ -558,7 +619,6 @@
                 w.in_flight = Some((report.tally.0, now));
                 w.next_report = now + 1_500;
                 let cut = now < w.cut_until;
-                let leader = self.leader_no;
                 // A report on its way into a cut comes late or never.
                 if cut && self.chance(0.5) || self.lost() || now < self.workers[i].mute_until {
                     continue;
@@ -568,12 +628,45 @@
                     // A copy, seconds to well over a lease later; nobody hears an answer to it.
                     let late = self.rng.random_range(1_000..30_000);
                     let copy = report.clone();
-                    self.post(late, Mail::Report { leader, worker: i, sent: 0, report: copy });
+                    self.post(late, Mail::Report { worker: i, sent: 0, report: copy });
+                }
+                if self.chance(self.forwarded) {
+                    self.gathered.push((i, now, report));
+                } else {
+                    self.post(delay, Mail::Report { worker: i, sent: now, report });
                 }
-                self.post(delay, Mail::Report { leader, worker: i, sent: now, report });
             }
         }
         self.step_gangs();
+        self.forward();
+    }
+
+    /// The controller that passes reports on sends a batch. Batches are lost, late and doubled as a
+    /// whole, and that controller restarts.
+    fn forward(&mut self) {
+        if self.gathered.is_empty() || !self.now.is_multiple_of(FORWARD_EVERY) {
+            return;
+        }
+        let reports = std::mem::take(&mut self.gathered);
+        if self.lost() {
+            return;
+        }
+        if self.faults && self.chance(0.03) {
+            let late = self.rng.random_range(1_000..30_000);
+            let copies = reports.iter().map(|(worker, _, report)| (*worker, 0, report.clone())).collect();
+            self.post(late, Mail::Batch { reports: copies });
+        }
+        let delay = self.delay();
+        self.post(delay, Mail::Batch { reports });
+    }
+
+    /// What the leader answers to a report, if the answer can reach the worker.
+    fn answer(&mut self, worker: usize, sent: u64, report: &Report) -> Option<Mail> {
+        let leader = self.leader.as_mut()?;
+        let answer = leader.on_report(Mono(self.now), report)?;
+        let w = &self.workers[worker];
+        let reachable = self.now >= w.cut_until && self.now >= w.deaf_until;
+        reachable.then_some(Mail::Answer { worker, sent, session: report.session.0, answer })
     }
 
     /// Gangs begin when all tasks wait, complete together, and break when one is gone.
@@ -690,18 +783,20 @@
         let now = Mono(self.now);
         let current = self.leader_no;
         match m {
-            Mail::Report { worker, sent, report, leader } => {
-                // A late report may still reach a leader that came meanwhile.
-                let _ = leader;
-                let Some(l) = &mut self.leader else { return };
-                let Some(answer) = l.on_report(now, &report) else { return };
-                let cut = self.now < self.workers[worker].cut_until;
-                if self.lost() || cut || self.now < self.workers[worker].deaf_until {
-                    return;
+            // A late report may still reach a leader that came meanwhile.
+            Mail::Report { worker, sent, report } => {
+                let Some(answer) = self.answer(worker, sent, &report) else { return };
+                if !self.lost() {
+                    let delay = self.delay();
+                    self.post(delay, answer);
+                }
+            }
+            Mail::Batch { reports } => {
+                let answers: Vec<Mail> = reports.iter().filter_map(|(w, sent, r)| self.answer(*w, *sent, r)).collect();
+                if !self.lost() {
+                    let delay = self.delay();
+                    answers.into_iter().for_each(|answer| self.post(delay, answer));
                 }
-                let delay = self.delay();
-                let session = report.session.0;
-                self.post(delay, Mail::Answer { worker, sent, session, answer });
             }
             Mail::Answer { worker, sent, session, answer } => {
                 let w = &mut self.workers[worker];
@@ -958,6 +1053,12 @@
     (starts, leaders)
 }
 
+#[test]
+fn reports_may_all_go_by_way_of_a_controller_that_does_not_lead() {
+    let (starts, leaders) = play(600..620, |m| (m.forwarded, m.ends) = (1.0, 0.004));
+    assert!(starts > 1_000 && leaders > 80, "starts={starts} leaders={leaders}");
+}
+
 #[test]
 fn late_transactions_undo_nothing() {
     let (starts, _) = play(200..230, |m| m.late_writes = 0.25);
--- /dev/null
+++ b/src/net/forwarding.rs
@@ -0,0 +1,167 @@
+//! Passing workers' reports on to the leader. A controller that does not lead gathers the reports that
+//! reach it, sends them to the leader in batches, and gives each worker what the leader has decided on
+//! its report. It decides nothing itself: to the worker and to the leader's ledger a forwarded report is
+//! one that took a longer way, which may be lost, late or delivered after a newer one like any other.
+
+use super::node::Node;
+use super::peers;
+use crate::ids::Term;
+use crate::peer::{ReportBatch, ReportDecision, ReportDecisions, VERSION};
+use crate::time::{Mono, Span};
+use bytes::Bytes;
+use hyper::Method;
+use prost::Message;
+use std::sync::Arc;
+use tokio::sync::{Notify, oneshot};
+
+/// Batches start at least this far apart, so that each carries several reports.
+const BATCH_INTERVAL: Span = Span(100);
+/// A worker waits 4 s for an answer; the leader gets less, so that the worker still learns of a failure.
+const BATCH_LIMIT: Span = Span(1_800);
+/// Most reports that wait or are on their way, and most of their bytes; what is beyond is redirected.
+const MAX_WAITING: usize = 4_096;
+const MAX_WAITING_BYTES: usize = 4 << 20;
+/// A leader sends a heartbeat every second; one that has been silent for longer is not sent anything.
+const HEARTBEAT_LIMIT: Span = Span(4_000);
+
+/// A leader that has sent a heartbeat.
+#[derive(Clone, Debug)]
+struct HeardLeader {
+    name: String,
+    term: Term,
+    heard_at: Mono,
+}
+
+/// A report that waits for the leader's decision.
+struct WaitingReport {
+    report: Bytes,
+    decision: oneshot::Sender<ReportDecision>,
+}
+
+/// The state of forwarding at one controller.
+#[derive(Default)]
+pub struct Forwarding {
+    leader: Option<HeardLeader>,
+    /// The leader has answered the last batch. Workers' reports are taken in only then; until then each
+    /// heartbeat of the leader is followed by an empty batch.
+    proven: bool,
+    waiting: Vec<WaitingReport>,
+    waiting_bytes: usize,
+}
+
+impl Forwarding {
+    /// A leader has sent its heartbeat. One of an earlier term may just not know yet that it lost office.
+    pub fn heard_leader(&mut self, name: &str, term: Term, now: Mono) {
+        if self.leader.as_ref().is_some_and(|known| term < known.term) {
+            return;
+        }
+        self.proven &= self.leader.as_ref().is_some_and(|known| known.term == term);
+        self.leader = Some(HeardLeader { name: name.into(), term, heard_at: now });
+    }
+
+    /// The leader to send batches to, if there is one that should answer.
+    fn destination(&self, now: Mono) -> Option<&HeardLeader> {
+        self.leader.as_ref().filter(|leader| now - leader.heard_at <= HEARTBEAT_LIMIT)
+    }
+
+    /// Whether the leader has answered the last batch.
+    pub fn is_proven(&self) -> bool {
+        self.proven
+    }
+
+    /// Whether workers' reports can be passed on to a leader now.
+    pub fn is_open(&self, now: Mono) -> bool {
+        let has_room = self.waiting.len() < MAX_WAITING && self.waiting_bytes < MAX_WAITING_BYTES;
+        self.proven && has_room && self.destination(now).is_some()
+    }
+
+    /// Takes a report in; none: it can't be passed on now.
+    fn admit(&mut self, report: Bytes, now: Mono) -> Option<oneshot::Receiver<ReportDecision>> {
+        if !self.is_open(now) {
+            return None;
+        }
+        let (decision, receiver) = oneshot::channel();
+        self.waiting_bytes += report.len();
+        self.waiting.push(WaitingReport { report, decision });
+        Some(receiver)
+    }
+
+    fn take_waiting(&mut self) -> Vec<WaitingReport> {
+        self.waiting_bytes = 0;
+        std::mem::take(&mut self.waiting)
+    }
+
+    /// A batch was sent to the leader of a term, who has answered it or not.
+    fn sent(&mut self, term: Term, answered: bool) {
+        if self.leader.as_ref().is_some_and(|known| known.term == term) {
+            self.proven = answered;
+        }
+    }
+}
+
+/// What became of a report that was to be passed on.
+pub enum Forwarded {
+    /// The leader has decided.
+    Decided(ReportDecision),
+    /// It was sent, and there is no decision: the worker should try another controller.
+    Unanswered,
+    /// There is no leader that it could be sent to.
+    Unavailable,
+}
+
+/// Passes a report on to the leader and waits for its decision.
+pub async fn forward(node: &Node, report: Bytes) -> Forwarded {
+    let now = node.now();
+    let admitted = node.lock().forwarding.admit(report, now);
+    let Some(receiver) = admitted else { return Forwarded::Unavailable };
+    node.report_waits.notify_one();
+    receiver.await.map_or(Forwarded::Unanswered, Forwarded::Decided)
+}
+
+/// Wakes the task that sends batches.
+pub type ReportWaits = Notify;
+
+/// Sends the reports that wait, batch after batch, for as long as the process runs. Woken without any, it
+/// sends an empty batch, which proves the way to the leader.
+pub async fn run(node: Arc<Node>) {
+    loop {
+        node.report_waits.notified().await;
+        tokio::time::sleep(BATCH_INTERVAL.std()).await;
+        let now = node.now();
+        let (waiting, leader) = {
+            let mut inner = node.lock();
+            (inner.forwarding.take_waiting(), inner.forwarding.destination(now).cloned())
+        };
+        // Dropped unanswered, each worker is told to try elsewhere.
+        let Some(leader) = leader else { continue };
+        send_batch(&node, &leader, waiting).await;
+    }
+}
+
+async fn send_batch(node: &Node, leader: &HeardLeader, waiting: Vec<WaitingReport>) {
+    let reports = waiting.iter().map(|w| w.report.clone()).collect();
+    let decisions = ask_leader(node, &leader.name, &ReportBatch { version: VERSION, reports }).await;
+    let decisions = decisions.filter(|d| d.len() == waiting.len());
+    node.lock().forwarding.sent(leader.term, decisions.is_some());
+    let Some(decisions) = decisions else {
+        log::debug!("{} has not answered a batch of reports={}", leader.name, waiting.len());
+        return;
+    };
+    for (waiting, decision) in waiting.into_iter().zip(decisions) {
+        // A worker that has given up has closed its connection; nobody waits then.
+        let _ = waiting.decision.send(decision);
+    }
+}
+
+/// The leader's decisions; none: it did not answer, or does not lead.
+async fn ask_leader(node: &Node, leader: &str, batch: &ReportBatch) -> Option<Vec<ReportDecision>> {
+    let address = node.settings.peers.iter().find(|p| p.name == leader)?.addr.to_string();
+    let body = batch.encode_to_vec();
+    let answer = node.http.call(Method::POST, &address, peers::REPORTS, body, BATCH_LIMIT).await;
+    let Ok((200, body)) = answer else { return None };
+    let answer = ReportDecisions::decode(body).ok()?;
+    (answer.version == VERSION && answer.leading).then_some(answer.decisions)
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/net/leading.rs
+++ b/src/net/leading.rs
@@ -316,6 +316,7 @@
             i.take_counts(&hello.counts);
         }
         let answers = peers::ask_all(node, &hello, Span(800)).await;
+        note_forwarding(node, &answers);
         suspicion = judge(node, &answers, hello.silent.len(), machines, suspicion);
         let pause = if suspicion > 0 { Span(300) } else { Span(1_000) };
         tokio::time::sleep(pause.std()).await;
@@ -323,6 +324,14 @@
     info!("no longer leading: term={term}");
 }
 
+/// Notes which peers can pass workers' reports on.
+fn note_forwarding(node: &Node, answers: &[Option<HelloAnswer>]) {
+    let forwards = |answer: &Option<HelloAnswer>| answer.as_ref().is_some_and(|a| a.forwards);
+    let peers = node.settings.peers.iter().zip(answers).filter(|(_, answer)| forwards(answer));
+    let names = peers.map(|(peer, _)| peer.name.clone()).collect();
+    node.lock().offloading.set_peers(names);
+}
+
 /// Takes in what the peers have said, and names an heir if it is this controller that the workers
 /// can't reach. Once may be chance, as workers that have just lost their leader stray for a moment:
 /// returns how often in a row it looked so.
--- a/src/net/loopback.rs
+++ b/src/net/loopback.rs
@@ -2,7 +2,7 @@
 
 use super::http::Http;
 use super::node::Node;
-use super::{election, leading, server};
+use super::{election, forwarding, leading, server};
 use crate::config::{Settings, Tuning, sample_settings};
 use crate::core::cancellations::Cancellations;
 use crate::core::leader::Action;
@@ -222,6 +222,7 @@
     world.lock().unwrap().worker = stand_in(world, Part::Worker).to_string();
     let c = Client { http: Http::new(16), addr: settings.listen.to_string() };
     let node = Node::new(settings, Tuning::default());
+    tokio::spawn(forwarding::run(node.clone()));
     tokio::spawn(server::serve(node.settings.listen, server::public(&node), 64));
     (node, c)
 }
@@ -297,6 +298,48 @@
     until(async || report().await == 421).await;
 }
 
+#[tokio::test]
+async fn a_controller_that_does_not_lead_hands_out_the_leaders_decisions_and_none_of_its_own() {
+    let world = Arc::new(Mutex::new(World::default()));
+    let [(leader, at_leader), (other, at_other)] = pair(&world);
+    tokio::spawn(server::serve(leader.settings.peer_listen, server::internal(&leader), 64));
+    tokio::time::sleep(Span(200).std()).await;
+    for node in [&leader, &other] {
+        tokio::spawn(leading::learn_types(node.clone()));
+        tokio::spawn(election::run(node.clone()));
+        until(async || world.lock().unwrap().store.contains_key(LEADER_KEY)).await;
+    }
+    let report = async |client: &Client| {
+        let r = world.lock().unwrap().report();
+        let (status, answer) = client.post("/v1/report", r).await;
+        let mut w = world.lock().unwrap();
+        w.token = w.token.max(answer["baton"].as_u64().unwrap_or(0));
+        (status, answer)
+    };
+    // The worker never speaks to the leader, and gets its token and its tasks.
+    until(async || at_leader.post("/api/jobs", job("req-000001", 1)).await.0 == 201).await;
+    until(async || {
+        let (status, answer) = report(&at_other).await;
+        let term = leader.lock().leadership.office().map(|o| FencingToken::new(o.term, 0));
+        let held = !world.lock().unwrap().lots.is_empty();
+        held && status == 200 && answer["baton"] == json!(term)
+    })
+    .await;
+    // A cancellation reaches it the same way.
+    assert_eq!(at_other.post("/api/jobs/req-000001/withdraw", json!({})).await.1["phase"], "aborted");
+    until(async || report(&at_other).await.1["orders"].to_string().contains("stop")).await;
+    assert_eq!(at_other.post("/v1/report", json!({"what": "is this"})).await.0, 400, "malformed wherever it arrives");
+
+    // The leader moves the worker to the other, which is there for that.
+    let other_name = other.settings.name.clone();
+    until(async || report(&at_leader).await == (421, json!({"steward": other_name}))).await;
+
+    // Without a leader that acts there is no answer, and none is made up or remembered.
+    leader.lock().leadership.lost_office();
+    assert_eq!(report(&at_other).await, (421, json!({})));
+    assert_ne!(report(&at_other).await.0, 200);
+}
+
 #[tokio::test]
 async fn a_controller_that_has_only_its_workers_says_so() {
     let world = Arc::new(Mutex::new(World::default()));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,10 +2,13 @@
 
 pub mod cloud;
 pub mod election;
+pub mod forwarding;
 pub mod http;
 pub mod leading;
 pub mod node;
+pub mod offloading;
 pub mod peers;
+pub mod reports;
 pub mod server;
 pub mod state;
 pub mod users;
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -1,7 +1,9 @@
 //! What the tasks of one controller share.
 
 use super::cloud::CloudClient;
+use super::forwarding::{Forwarding, ReportWaits};
 use super::http::Http;
+use super::offloading::Offloading;
 use super::state::{StateClient, StateError};
 use crate::config::{Settings, Tuning};
 use crate::core::cancellations::Cancellations;
@@ -26,6 +28,8 @@
     pub cloud: CloudClient,
     /// Tells this process from earlier ones at the same address.
     pub incarnation: u64,
+    /// Says that a report waits to be passed on to the leader.
+    pub report_waits: ReportWaits,
     started: Instant,
     inner: Mutex<Inner>,
 }
@@ -55,6 +59,10 @@
     pub silent: HashSet<String>,
     /// The peer that this controller's office should go to.
     pub heir: Option<String>,
+    /// Workers' reports on their way to the leader.
+    pub forwarding: Forwarding,
+    /// While leading: the peers that take workers' reports.
+    pub offloading: Offloading,
 }
 
 /// Workers wait this long for an answer (PROTOCOL).
@@ -144,6 +152,8 @@
             strays: HashMap::new(),
             silent: HashSet::new(),
             heir: None,
+            forwarding: Forwarding::default(),
+            offloading: Offloading::default(),
         };
         Arc::new(Node {
             settings,
@@ -153,6 +163,7 @@
             state,
             cloud,
             incarnation: rand::random::<u64>() >> 1,
+            report_waits: ReportWaits::default(),
             started: Instant::now(),
             inner: Mutex::new(inner),
         })
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -12,6 +12,7 @@
 
 pub const HELLO: &str = "/peer/hello";
 pub const PLAN: &str = "/peer/plan";
+pub const REPORTS: &str = "/peer/reports";
 
 async fn ask(node: &Node, addr: &str, hello: &Hello, limit: Span) -> Option<HelloAnswer> {
     let answer = node.http.call(Method::POST, addr, HELLO, hello.encode_to_vec(), limit).await;
@@ -66,6 +67,10 @@
     if hello.leading && !hello.hold_on {
         i.silent = hello.silent.into_iter().collect();
         i.take_counts(&hello.counts);
+        i.forwarding.heard_leader(&hello.from, Term(hello.term), now);
+        if !i.forwarding.is_proven() {
+            node.report_waits.notify_one();
+        }
     }
     if !hello.heir.is_empty() && hello.heir != node.settings.name {
         i.leadership.yield_office(now);
@@ -78,6 +83,7 @@
         answer.promise_ms = p.span.0;
         answer.cancelled = p.cancelled.iter().map(JobId::to_string).collect();
     }
+    answer.forwards = i.forwarding.is_open(now);
     answer.leader = i.leader_name.clone().filter(|_| answer.state_ok).unwrap_or_default();
     Some(answer.encode_to_vec())
 }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -3,9 +3,10 @@
 use super::leading;
 use super::node::Node;
 use super::peers;
+use super::reports;
 use super::users::{self, Reply};
-use crate::ids::{FencingToken, Term};
-use crate::wire::{LotPhase, Report, ReportAnswer};
+use bytes::Bytes;
+use salvo::http::header::{CONTENT_TYPE, HeaderValue};
 use salvo::prelude::*;
 use serde_json::json;
 use std::net::SocketAddr;
@@ -13,6 +14,8 @@
 
 /// The limit of the protocol on a request's body.
 const MAX_BODY: usize = 64 * 1024;
+/// A worker with a great many tasks may say more than users may.
+const MAX_REPORT: usize = 4 * MAX_BODY;
 /// A view of a few thousand machines, with the images of each, has one or two MB. One beyond this is
 /// refused and logged, and the leader plans that part itself.
 const MAX_PEER_BODY: usize = 16 << 20;
@@ -26,6 +29,7 @@
     Report,
     Hello,
     Plan,
+    Reports,
 }
 
 struct Edge {
@@ -59,17 +63,16 @@
                 leading::feed(node, |_| ());
             }
             Route::Report => {
-                let body = req.payload_with_max_size(4 * MAX_BODY).await;
-                let report = body.ok().and_then(|b| serde_json::from_slice::<Report>(b).ok());
-                match report {
-                    Some(r) => self.report(&r, res),
-                    None => send(res, 400, json!({"error": "not a report"}).to_string()),
-                }
+                // Unreadable, it is answered like any other that is not a report.
+                let body = req.payload_with_max_size(MAX_REPORT).await.cloned().unwrap_or_default();
+                let decision = reports::answer_worker(node, &body).await;
+                send(res, decision.status as u16, decision.body);
             }
-            Route::Hello | Route::Plan => {
+            Route::Hello | Route::Plan | Route::Reports => {
                 let body = req.payload_with_max_size(MAX_PEER_BODY).await.ok();
                 let answer = body.and_then(|b| match self.route {
                     Route::Plan => peers::plan(b),
+                    Route::Reports => reports::answer_batch(node, b),
                     _ => peers::answer(node, b),
                 });
                 match answer {
@@ -87,49 +90,11 @@
     }
 }
 
-impl Edge {
-    fn report(&self, r: &Report, res: &mut Response) {
-        let node = &self.node;
-        let now = node.now();
-        let (term, loaded, steward) = {
-            let mut i = node.lock();
-            let term = i.leadership.acting(now);
-            // A worker that the leader doesn't hear would only wait there in vain. And a name read
-            // before the state service fell silent may send it round in circles; peers may know.
-            let known = if i.refused_since.is_some() { &i.leader_by_peers } else { &i.leader_name };
-            let steward = if i.silent.contains(&r.machine) { None } else { known.clone() };
-            let steward = if term.is_none() { i.note_stray(&r.machine, now, steward) } else { None };
-            (term, i.leader.is_some(), steward)
-        };
-        if let Some(term) = term {
-            let answer = if loaded {
-                leading::feed(node, |l| l.on_report(now, r)).flatten()
-            } else {
-                Some(answer_unread(term, r))
-            };
-            return match answer {
-                Some(a) => send(res, 200, serde_json::to_string(&a).unwrap_or_default()),
-                None => send(res, 503, json!({"error": "not answered"}).to_string()),
-            };
-        }
-        match steward.filter(|s| *s != node.settings.name) {
-            Some(s) => send(res, 421, json!({ "steward": s }).to_string()),
-            None => send(res, 421, json!({}).to_string()),
-        }
-    }
-}
-
-/// The answer of a leader that is still reading its ledger: it can't tell which tasks are cancelled, so
-/// it renews no lease over any. An answer without a token is dropped, but keeps the worker here.
-fn answer_unread(term: Term, r: &Report) -> ReportAnswer {
-    let empty = r.lots.iter().all(|l| l.phase == LotPhase::Exited);
-    let token = if empty { FencingToken::new(term, 0) } else { FencingToken::NONE };
-    ReportAnswer { token, orders: Vec::new() }
-}
-
-fn send(res: &mut Response, status: u16, body: String) {
+fn send(res: &mut Response, status: u16, body: impl Into<Bytes>) {
     res.status_code(StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
-    res.render(Text::Json(body));
+    res.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    // It fails only for a response that has a body already.
+    let _ = res.write_body(body.into());
 }
 
 fn reply(res: &mut Response, r: Reply) {
@@ -159,6 +124,7 @@
     Router::new()
         .push(Router::with_path(&peers::HELLO[1..]).post(edge(node, Route::Hello)))
         .push(Router::with_path(&peers::PLAN[1..]).post(edge(node, Route::Plan)))
+        .push(Router::with_path(&peers::REPORTS[1..]).post(edge(node, Route::Reports)))
 }
 
 /// Serves at most `most` connections at once. Those beyond wait unaccepted, so that the load
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -1,6 +1,7 @@
 //! What controllers say to each other, in prost. The planner works on these messages as they are,
 //! so that a controller can plan on the leader's view without a second form of it.
 
+use bytes::Bytes;
 use prost::Message;
 
 /// Raised whenever a message changes its meaning; others are dropped.
@@ -67,6 +68,40 @@
     /// leader can't have read.
     #[prost(string, repeated, tag = "6")]
     pub cancelled: Vec<String>,
+    /// The answering controller can pass workers' reports on to the asking leader.
+    #[prost(bool, tag = "7")]
+    pub forwards: bool,
+}
+
+/// Workers' reports that a controller has taken in for the leader, each as the worker wrote it.
+#[derive(Clone, PartialEq, Message)]
+pub struct ReportBatch {
+    #[prost(uint32, tag = "1")]
+    pub version: u32,
+    #[prost(bytes = "bytes", repeated, tag = "2")]
+    pub reports: Vec<Bytes>,
+}
+
+/// What the leader has decided on each report of a batch, in the order of the batch.
+#[derive(Clone, PartialEq, Message)]
+pub struct ReportDecisions {
+    #[prost(uint32, tag = "1")]
+    pub version: u32,
+    /// False: the controller that was asked does not lead, and has decided nothing.
+    #[prost(bool, tag = "2")]
+    pub leading: bool,
+    #[prost(message, repeated, tag = "3")]
+    pub decisions: Vec<ReportDecision>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct ReportDecision {
+    /// The HTTP status that the worker gets.
+    #[prost(uint32, tag = "1")]
+    pub status: u32,
+    /// The JSON that the worker gets.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub body: Bytes,
 }
 
 #[derive(Clone, PartialEq, Message)]
