A leader that is too slow hands over, and doesn't take unread reports for silence

Now a leader whose ticks come 400 ms late on average for three heartbeats names a peer that answers, at most once a minute, and at 250 ms it gives machines three leases before it takes them for silent.

--- a/src/config.rs
+++ b/src/config.rs
@@ -219,7 +219,7 @@
         let all = self.cluster.limits.sockets;
         let part = |percent: usize, least: usize| (all * percent / 100).max(least);
         // Two in a hundred are left for listeners, logs and the runtime.
-        Sockets { public: part(70, 1), peers: part(3, 8), own: part(3, 8), orders: part(22, 4) }
+        Sockets { public: part(64, 1), peers: part(3, 8), own: part(3, 8), orders: part(28, 4) }
     }
 }
 
--- a/src/core/leader/machines.rs
+++ b/src/core/leader/machines.rs
@@ -5,6 +5,8 @@
 /// Leases and silence are looked at this often; each look goes through all machines.
 const LOOK_EVERY: Span = Span(200);
 const MAX_ROUND_MS: f64 = 1_500.0;
+/// With ticks this late on average reports wait unread, so that silence says little about machines.
+const STRAINED_LAG_MS: f64 = 250.0;
 
 impl Leader {
     pub fn tick(&mut self, now: Mono, wall: Wall) {
@@ -29,6 +31,11 @@
         self.flush_orders();
     }
 
+    /// By how much ticks come late on average: a measure of the processor's load.
+    pub fn lag(&self) -> Span {
+        Span(self.lag_ms as u64)
+    }
+
     /// Averages by how much ticks come later than they should.
     fn note_lag(&mut self, now: Mono) {
         let late = (now - self.ticked_at).0.saturating_sub(TICK.0) as f64;
@@ -82,7 +89,8 @@
             self.machines.values().filter(|m| m.commission == Commission::Yes && now - m.last_report > quiet).count();
         // Many silent at once: a cut, or a leader just come to office, rather than dead machines.
         let many = silent > 2 && silent * 3 > up;
-        let silent_after = self.p.lease.times(if many { 3.0 } else { 0.55 });
+        let strained = self.lag_ms >= STRAINED_LAG_MS;
+        let silent_after = self.p.lease.times(if many || strained { 3.0 } else { 0.55 });
         // The same for machines that answers don't reach.
         let deaf_after = self.p.lease;
         let is_deaf = |m: &Machine| m.deaf_since.is_some_and(|t| now - t > deaf_after);
--- a/src/core/leader/tests.rs
+++ b/src/core/leader/tests.rs
@@ -282,6 +282,24 @@
     assert_eq!(rig.leader.jobs[&id].ready.len(), 1, "to be started anew");
 }
 
+#[test]
+fn a_leader_whose_ticks_come_late_does_not_take_unread_reports_for_silence() {
+    // A controller at a third of its speed returned 50 machines, whose reports waited for it.
+    let mut rig = Rig::new(6);
+    rig.run(2_000);
+    for _ in 0..8 {
+        rig.now += 950;
+        rig.mute = rig.workers.keys().cloned().collect();
+        rig.run(TICK.0);
+    }
+    assert!(rig.leader.lag() >= Span(250) && rig.returned.is_empty());
+    // Reports arrive again but for one machine's; ticks come in time.
+    rig.mute = BTreeSet::from(["w0".into()]);
+    rig.run(2_500);
+    assert!(rig.leader.lag() < Span(50));
+    assert_eq!(rig.returned, BTreeSet::from(["m-000000".into()]));
+}
+
 #[test]
 fn the_lease_of_a_session_counts_from_when_it_was_first_heard_of() {
     // A machine was back at once, its new session became known by the answer to an order, and no report
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,6 +6,7 @@
 pub mod leader;
 pub mod leadership;
 pub mod miser;
+pub mod overload;
 pub mod rentals;
 pub mod shares;
 
--- /dev/null
+++ b/src/core/overload.rs
@@ -0,0 +1,38 @@
+//! When a leader is so slow that a peer should lead in its place.
+
+use crate::time::{Mono, Span};
+
+/// Ticks that come this much late on average: reports wait, and renewals are about to fail.
+const OVERLOAD_LAG: Span = Span(400);
+/// How often in a row the lag must be seen, about once a second. A burst of work passes sooner.
+const SIGHTINGS: u32 = 3;
+/// Where every controller is too slow, handing over often would only add to the load.
+const RELIEF_INTERVAL: Span = Span(60_000);
+
+/// Watches the lag of one controller while it leads.
+#[derive(Default)]
+pub struct Overload {
+    sightings: u32,
+    relieved_at: Option<Mono>,
+}
+
+impl Overload {
+    /// Takes in the present lag; true: the leader should hand over now.
+    pub fn note(&mut self, now: Mono, lag: Span) -> bool {
+        if lag < OVERLOAD_LAG {
+            self.sightings = 0;
+            return false;
+        }
+        self.sightings += 1;
+        let relieved_lately = self.relieved_at.is_some_and(|at| now - at < RELIEF_INTERVAL);
+        if self.sightings < SIGHTINGS || relieved_lately {
+            return false;
+        }
+        self.sightings = 0;
+        self.relieved_at = Some(now);
+        true
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/net/leading.rs
+++ b/src/net/leading.rs
@@ -3,6 +3,7 @@
 use super::node::Node;
 use super::peers;
 use super::state::{StateError, commit_result};
+use crate::config::Peer;
 use crate::core::fleet::FLEET;
 use crate::core::jobs::{BITS, LIVE};
 use crate::core::leader::{Action, CommitResult, Leader, OrdersResult, RentResult, Stored, TICK};
@@ -14,6 +15,7 @@
 use crate::wire::{Change, Guard, LogEntry, MachineType, Report, Txn};
 use hyper::Method;
 use log::{debug, info, warn};
+use rand::seq::IndexedRandom;
 use serde_json::json;
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -318,12 +320,29 @@
         let answers = peers::ask_all(node, &hello, Span(800)).await;
         note_forwarding(node, &answers);
         suspicion = judge(node, &answers, hello.silent.len(), machines, suspicion);
+        relieve(node, &answers);
         let pause = if suspicion > 0 { Span(300) } else { Span(1_000) };
         tokio::time::sleep(pause.std()).await;
     }
     info!("no longer leading: term={term}");
 }
 
+/// Names a successor if this controller has been too slow for a while and a peer can take over.
+fn relieve(node: &Node, answers: &[Option<HelloAnswer>]) {
+    let now = node.now();
+    let mut inner = node.lock();
+    let Some(leader) = inner.leader.as_ref().filter(|leader| leader.settled(now)) else { return };
+    let lag = leader.lag();
+    let able = |answer: &Option<HelloAnswer>| answer.as_ref().is_some_and(|a| a.state_ok && a.forwards);
+    let able: Vec<&Peer> =
+        node.settings.peers.iter().zip(answers).filter(|(_, answer)| able(answer)).map(|(peer, _)| peer).collect();
+    let Some(peer) = able.choose(&mut rand::rng()) else { return };
+    if inner.overload.note(now, lag) {
+        warn!("handing over: ticks are late by {} ms, heir={}", lag.0, peer.name);
+        inner.heir = Some(peer.name.clone());
+    }
+}
+
 /// Notes which peers can pass workers' reports on.
 fn note_forwarding(node: &Node, answers: &[Option<HelloAnswer>]) {
     let forwards = |answer: &Option<HelloAnswer>| answer.as_ref().is_some_and(|a| a.forwards);
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -10,6 +10,7 @@
 use crate::core::jobs::OverRecord;
 use crate::core::leader::Leader;
 use crate::core::leadership::Leadership;
+use crate::core::overload::Overload;
 use crate::ids::JobId;
 use crate::peer::JobCount;
 use crate::time::{Mono, Span, Wall};
@@ -63,6 +64,8 @@
     pub forwarding: Forwarding,
     /// While leading: the peers that take workers' reports.
     pub offloading: Offloading,
+    /// While leading: whether this controller is too slow for it.
+    pub overload: Overload,
 }
 
 /// Workers wait this long for an answer (PROTOCOL).
@@ -154,6 +157,7 @@
             heir: None,
             forwarding: Forwarding::default(),
             offloading: Offloading::default(),
+            overload: Overload::default(),
         };
         Arc::new(Node {
             settings,
