Workers report to peers of their own zone, and silence is judged by the way that reports take

The leader now moves workers to peers of the worker's own zone, and where more than a third of the machines of one way are silent at once it gives these three leases, as it did before when a third of all were.

--- a/src/config.rs
+++ b/src/config.rs
@@ -20,6 +20,8 @@
 pub struct Peer {
     #[serde(rename = "host_name")]
     pub name: String,
+    #[serde(rename = "location", default)]
+    pub zone: String,
     #[serde(rename = "endpoint")]
     pub addr: SocketAddr,
 }
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -105,6 +105,18 @@
 
 pub type SlotKey = (TaskId, Attempt);
 
+/// The way that a machine's reports take to the leader: directly, or by one of the peers.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub struct Route(usize);
+
+impl Route {
+    pub const DIRECT: Route = Route(0);
+
+    pub fn by_peer(index: usize) -> Route {
+        Route(index + 1)
+    }
+}
+
 pub struct Machine {
     pub endpoint: String,
     pub kind: usize,
@@ -123,6 +135,8 @@
     pub reported: (Session, Tally),
     /// When the last report that was answered came in. A copy of an earlier one is no sign of life.
     pub last_report: Mono,
+    /// The way that it took.
+    pub route: Route,
     /// Its session has ended by the ledger's own count: what comes of it later is stale.
     pub ended: bool,
     /// It has reported under this leader's token, so answers reach it.
@@ -171,6 +185,7 @@
             tally: Tally(0),
             reported: (Session(0), Tally(0)),
             last_report: now,
+            route: Route::DIRECT,
             ended: false,
             confirmed: false,
             deaf_since: None,
--- a/src/core/leader/machines.rs
+++ b/src/core/leader/machines.rs
@@ -8,6 +8,13 @@
 /// With ticks this late on average reports wait unread, so that silence says little about machines.
 const STRAINED_LAG_MS: f64 = 250.0;
 
+/// Where many machines are silent at once.
+struct ManySilent {
+    everywhere: bool,
+    /// Of those whose reports came this way.
+    routes: BTreeSet<Route>,
+}
+
 impl Leader {
     pub fn tick(&mut self, now: Mono, wall: Wall) {
         self.note_lag(now);
@@ -83,14 +90,13 @@
     }
 
     pub(super) fn look_after_machines(&mut self, now: Mono) {
-        let quiet = self.quiet();
         let up = self.machines.values().filter(|m| m.up && m.commission == Commission::Yes).count();
-        let silent =
-            self.machines.values().filter(|m| m.commission == Commission::Yes && now - m.last_report > quiet).count();
-        // Many silent at once: a cut, or a leader just come to office, rather than dead machines.
-        let many = silent > 2 && silent * 3 > up;
+        let many_silent = self.many_silent(now);
         let strained = self.lag_ms >= STRAINED_LAG_MS;
-        let silent_after = self.p.lease.times(if many || strained { 3.0 } else { 0.55 });
+        let silent_after = |route: &Route| {
+            let excused = strained || many_silent.everywhere || many_silent.routes.contains(route);
+            self.p.lease.times(if excused { 3.0 } else { 0.55 })
+        };
         // The same for machines that answers don't reach.
         let deaf_after = self.p.lease;
         let is_deaf = |m: &Machine| m.deaf_since.is_some_and(|t| now - t > deaf_after);
@@ -109,6 +115,7 @@
                 let silent = now - m.last_report.max(self.since);
                 // A worker may need some seconds to find a new leader: one that hasn't yet is no
                 // more silent than its lease is long.
+                let silent_after = silent_after(&m.route);
                 let silent_after = if m.confirmed { silent_after } else { silent_after.max(lease) };
                 if !m.up && m.commission == Commission::No && now - m.since > boot {
                     info!("machine {id} has not come up and goes back");
@@ -156,6 +163,23 @@
         }
     }
 
+    /// Where many machines are silent at once: it is rather a cut, a peer that has ended or a leader just
+    /// come to office than dead machines.
+    fn many_silent(&self, now: Mono) -> ManySilent {
+        let quiet = self.quiet();
+        let mut counts: BTreeMap<Route, (usize, usize)> = BTreeMap::new();
+        for m in self.machines.values().filter(|m| m.commission == Commission::Yes) {
+            let (up, silent) = counts.entry(m.route).or_default();
+            *up += usize::from(m.up);
+            *silent += usize::from(now - m.last_report > quiet);
+        }
+        let many = |up: usize, silent: usize| silent > 2 && silent * 3 > up;
+        let up = counts.values().map(|(up, _)| up).sum();
+        let silent = counts.values().map(|(_, silent)| silent).sum();
+        let routes = counts.iter().filter(|(_, (up, silent))| many(*up, *silent)).map(|(route, _)| *route).collect();
+        ManySilent { everywhere: many(up, silent), routes }
+    }
+
     /// Long enough in office that workers which can find this leader have done so. Before that,
     /// silence proves nothing, and two leaders would hand the office to and fro.
     pub fn settled(&self, now: Mono) -> bool {
--- a/src/core/leader/mod.rs
+++ b/src/core/leader/mod.rs
@@ -11,7 +11,7 @@
 mod writes;
 
 use crate::config::{Settings, Tuning};
-use crate::core::fleet::{Amount, Commission, FLEET, FleetRecord, Machine, Sent, Slot, SlotKey, fleet_key};
+use crate::core::fleet::{Amount, Commission, FLEET, FleetRecord, Machine, Route, Sent, Slot, SlotKey, fleet_key};
 use crate::core::jobs::{
     self, BITS, ClassTimes, GangRun, Job, LIVE, LiveRecord, OverRecord, chunk_tasks, decode_bits, encode_bits,
     live_key, over_key, priority_number,
--- a/src/core/leader/tests.rs
+++ b/src/core/leader/tests.rs
@@ -300,6 +300,28 @@
     assert_eq!(rig.returned, BTreeSet::from(["m-000000".into()]));
 }
 
+#[test]
+fn machines_of_a_peer_that_has_ended_get_time_to_find_another_controller() {
+    // Two zones parted, and 82 machines whose reports had come by peers beyond the cut were returned.
+    let mut rig = Rig::new(16);
+    rig.run(2_000);
+    let by_peer: BTreeSet<String> = ["w0", "w1", "w2", "w3"].map(String::from).into();
+    for name in &by_peer {
+        let report = rig.workers.get_mut(name).unwrap();
+        report.tally.0 += 1;
+        assert!(rig.leader.on_report_by(Mono(rig.now), report, Route::by_peer(0)).is_some());
+    }
+    rig.mute = by_peer.clone();
+    rig.run(9_000);
+    assert!(rig.returned.is_empty(), "they look for another controller");
+    rig.mute.clear();
+    rig.run(1_000);
+    // As many, each by a way that others report by as well, are rather dead.
+    rig.mute = by_peer;
+    rig.run(9_000);
+    assert_eq!(rig.returned.len(), 4);
+}
+
 #[test]
 fn the_lease_of_a_session_counts_from_when_it_was_first_heard_of() {
     // A machine was back at once, its new session became known by the answer to an order, and no report
--- a/src/core/leader/workers.rs
+++ b/src/core/leader/workers.rs
@@ -3,8 +3,13 @@
 use super::*;
 
 impl Leader {
-    /// A worker's report. None: not to be answered.
+    /// A worker's report that has come directly. None: not to be answered.
     pub fn on_report(&mut self, now: Mono, r: &Report) -> Option<ReportAnswer> {
+        self.on_report_by(now, r, Route::DIRECT)
+    }
+
+    /// A worker's report, and the way that it took.
+    pub fn on_report_by(&mut self, now: Mono, r: &Report, route: Route) -> Option<ReportAnswer> {
         let id = MachineId::parse(&r.machine)?;
         if self.gone.contains(&id) {
             return None;
@@ -46,6 +51,7 @@
         }
         // Even a report that other news has overtaken renews the lease by being answered.
         m.last_report = now;
+        m.route = route;
         let token = FencingToken::new(self.term, m.fence);
         // The answer renews the lease, so it carries every stop, whatever else is under way: a worker
         // that lives on by it must not keep a cancelled task.
--- a/src/net/forwarding.rs
+++ b/src/net/forwarding.rs
@@ -140,7 +140,8 @@
 
 async fn send_batch(node: &Node, leader: &HeardLeader, waiting: Vec<WaitingReport>) {
     let reports = waiting.iter().map(|w| w.report.clone()).collect();
-    let decisions = ask_leader(node, &leader.name, &ReportBatch { version: VERSION, reports }).await;
+    let batch = ReportBatch { version: VERSION, reports, from: node.settings.name.clone() };
+    let decisions = ask_leader(node, &leader.name, &batch).await;
     let decisions = decisions.filter(|d| d.len() == waiting.len());
     node.lock().forwarding.sent(leader.term, decisions.is_some());
     let Some(decisions) = decisions else {
--- a/src/net/leading.rs
+++ b/src/net/leading.rs
@@ -347,8 +347,8 @@
 fn note_forwarding(node: &Node, answers: &[Option<HelloAnswer>]) {
     let forwards = |answer: &Option<HelloAnswer>| answer.as_ref().is_some_and(|a| a.forwards);
     let peers = node.settings.peers.iter().zip(answers).filter(|(_, answer)| forwards(answer));
-    let names = peers.map(|(peer, _)| peer.name.clone()).collect();
-    node.lock().offloading.set_peers(names);
+    let peers = peers.map(|(peer, _)| peer.clone()).collect();
+    node.lock().offloading.set_peers(peers);
 }
 
 /// Takes in what the peers have said, and names an heir if it is this controller that the workers
--- a/src/net/offloading.rs
+++ b/src/net/offloading.rs
@@ -1,6 +1,8 @@
-//! Moving workers from the leader to peers that pass reports on: a batch of a peer costs the leader about
-//! as much as one worker's report.
+//! Which controller each worker should report to, as the leader sees it: a batch of a peer costs the leader
+//! about as much as one worker's report, so workers report to peers; and to peers of their own zone, so
+//! that zones which can't reach each other cut few workers off.
 
+use crate::config::Peer;
 use crate::time::{Mono, Span};
 
 /// Workers are moved no faster than one in this time, so that peers can be seen to cope.
@@ -9,25 +11,33 @@
 /// The peers that take workers' reports, as of their last answers to the leader's heartbeat.
 #[derive(Default)]
 pub struct Offloading {
-    peers: Vec<String>,
-    next: usize,
+    peers: Vec<Peer>,
+    moves: usize,
     not_before: Mono,
 }
 
 impl Offloading {
     /// The peers that can pass reports on now.
-    pub fn set_peers(&mut self, peers: Vec<String>) {
+    pub fn set_peers(&mut self, peers: Vec<Peer>) {
         self.peers = peers;
     }
 
-    /// The peer that a worker should be moved to now, if any; peers take turns.
-    pub fn next_peer(&mut self, now: Mono) -> Option<String> {
-        if now < self.not_before || self.peers.is_empty() {
+    /// The peer that a worker of a zone should be moved to now, if any; peers take turns. `by` is the peer
+    /// that has passed its report on; none: the worker has reported to the leader itself.
+    pub fn better_peer(&mut self, now: Mono, zone: &str, by: Option<&str>) -> Option<String> {
+        if now < self.not_before {
             return None;
         }
+        let near: Vec<&Peer> = self.peers.iter().filter(|peer| peer.zone == zone).collect();
+        let stays = by.is_some_and(|name| near.is_empty() || near.iter().any(|peer| peer.name == name));
+        let candidates = if near.is_empty() { self.peers.iter().collect() } else { near };
+        if stays || candidates.is_empty() {
+            return None;
+        }
+        let peer = candidates[self.moves % candidates.len()].name.clone();
+        self.moves += 1;
         self.not_before = now + MOVE_INTERVAL;
-        self.next = (self.next + 1) % self.peers.len();
-        self.peers.get(self.next).cloned()
+        Some(peer)
     }
 }
 
--- a/src/net/offloading/tests.rs
+++ b/src/net/offloading/tests.rs
@@ -1,16 +1,28 @@
 use super::*;
 
+fn peer(name: &str, zone: &str) -> Peer {
+    Peer { name: name.into(), zone: zone.into(), addr: ([127, 0, 0, 1], 1).into() }
+}
+
+#[test]
+fn workers_are_moved_to_peers_of_their_zone_in_turn_and_not_all_at_once() {
+    let mut offloading = Offloading::default();
+    assert_eq!(offloading.better_peer(Mono(1_000), "a", None), None, "no peer passes reports on");
+    offloading.set_peers(vec![peer("one", "a"), peer("two", "b"), peer("three", "a")]);
+    let first = offloading.better_peer(Mono(2_000), "a", None).unwrap();
+    assert_eq!(offloading.better_peer(Mono(2_001), "a", None), None, "too soon");
+    let second = offloading.better_peer(Mono(2_000) + MOVE_INTERVAL, "a", None).unwrap();
+    assert_eq!([&first[..], &second[..]], ["one", "three"]);
+    assert!(offloading.better_peer(Mono(3_000), "c", None).is_some(), "without one of its zone, any peer");
+}
+
 #[test]
-fn workers_are_moved_to_peers_in_turn_and_not_all_at_once() {
+fn a_worker_stays_with_a_peer_of_its_zone_and_with_any_where_there_is_none() {
     let mut offloading = Offloading::default();
-    assert_eq!(offloading.next_peer(Mono(1_000)), None, "no peer passes reports on");
-    offloading.set_peers(vec!["one".into(), "two".into()]);
-    let first = offloading.next_peer(Mono(1_000)).unwrap();
-    assert_eq!(offloading.next_peer(Mono(1_001)), None, "too soon");
-    let second = offloading.next_peer(Mono(1_000) + MOVE_INTERVAL).unwrap();
-    assert_ne!(first, second);
-    offloading.set_peers(vec!["two".into()]);
-    assert_eq!(offloading.next_peer(Mono(9_000)).as_deref(), Some("two"));
-    offloading.set_peers(Vec::new());
-    assert_eq!(offloading.next_peer(Mono(99_000)), None);
+    offloading.set_peers(vec![peer("one", "a"), peer("two", "b")]);
+    assert_eq!(offloading.better_peer(Mono(1_000), "a", Some("one")), None);
+    assert_eq!(offloading.better_peer(Mono(1_000), "c", Some("one")), None);
+    assert_eq!(offloading.better_peer(Mono(1_000), "b", Some("one")).as_deref(), Some("two"));
+    offloading.set_peers(vec![peer("one", "a")]);
+    assert_eq!(offloading.better_peer(Mono(2_000), "b", Some("one")), None, "the other does not answer any more");
 }
--- a/src/net/reports.rs
+++ b/src/net/reports.rs
@@ -2,10 +2,12 @@
 
 use super::forwarding::{self, Forwarded};
 use super::leading;
-use super::node::Node;
+use super::node::{Inner, Node};
+use crate::core::fleet::Route;
 use crate::core::leader::answer_without_ledger;
 use crate::ids::MachineId;
 use crate::peer::{ReportBatch, ReportDecision, ReportDecisions, VERSION};
+use crate::time::Mono;
 use crate::wire::{Report, ReportAnswer};
 use bytes::Bytes;
 use prost::Message;
@@ -51,38 +53,49 @@
 
 fn answer_directly(node: &Arc<Node>, body: &[u8]) -> ReportDecision {
     let Ok(report) = serde_json::from_slice::<Report>(body) else { return malformed() };
-    if let Some(peer) = moved_to(node, &report) {
-        return redirect(Some(&peer));
-    }
-    match decide(node, std::slice::from_ref(&report)) {
-        Some(mut answers) => decided(answers.pop().flatten()),
+    match decide(node, std::slice::from_ref(&report), None) {
+        Some(mut decisions) => decisions.pop().unwrap_or_else(|| decided(None)),
         None => redirect(known_leader(node, &report).as_deref()),
     }
 }
 
-/// The leader's decisions on reports that arrived together; none: this controller does not lead.
-fn decide(node: &Arc<Node>, reports: &[Report]) -> Option<Vec<Option<ReportAnswer>>> {
+/// The leader's decisions on reports that arrived together, passed on by a peer or not; none: this
+/// controller does not lead.
+fn decide(node: &Arc<Node>, reports: &[Report], by: Option<&str>) -> Option<Vec<ReportDecision>> {
     let now = node.now();
-    let (term, loaded) = {
-        let inner = node.lock();
-        (inner.leadership.acting(now)?, inner.leader.is_some())
+    let moves = {
+        let mut inner = node.lock();
+        let term = inner.leadership.acting(now)?;
+        if inner.leader.is_none() {
+            return Some(reports.iter().map(|r| decided(Some(answer_without_ledger(term, r)))).collect());
+        }
+        reports.iter().map(|r| inner.moved_to(now, r, by)).collect::<Vec<_>>()
     };
-    if loaded {
-        return leading::feed(node, |leader| reports.iter().map(|r| leader.on_report(now, r)).collect());
-    }
-    Some(reports.iter().map(|r| Some(answer_without_ledger(term, r))).collect())
+    let route = route(node, by);
+    leading::feed(node, |leader| {
+        let decide_one = |(report, moved): (&Report, Option<String>)| match moved {
+            Some(peer) => redirect(Some(&peer)),
+            None => decided(leader.on_report_by(now, report, route)),
+        };
+        reports.iter().zip(moves).map(decide_one).collect()
+    })
 }
 
-/// The peer that should take a worker's reports in the leader's place.
-fn moved_to(node: &Node, report: &Report) -> Option<String> {
-    let now = node.now();
-    let mut inner = node.lock();
-    inner.leadership.acting(now)?;
-    let id = MachineId::parse(&report.machine)?;
-    if !inner.leader.as_ref()?.is_confirmed(&id) {
-        return None;
+/// The way that reports take which a peer passes on.
+fn route(node: &Node, by: Option<&str>) -> Route {
+    let index = by.and_then(|name| node.settings.peers.iter().position(|peer| peer.name == name));
+    index.map_or(Route::DIRECT, Route::by_peer)
+}
+
+impl Inner {
+    /// The peer that should take a worker's reports from now on; none: it stays where it is.
+    fn moved_to(&mut self, now: Mono, report: &Report, by: Option<&str>) -> Option<String> {
+        let id = MachineId::parse(&report.machine)?;
+        if !self.leader.as_ref()?.is_confirmed(&id) {
+            return None;
+        }
+        self.offloading.better_peer(now, &report.zone, by)
     }
-    inner.offloading.next_peer(now)
 }
 
 /// Whom to send a worker to that can't be answered here.
@@ -108,11 +121,12 @@
         readable.extend(report);
     }
     let mut answer = ReportDecisions { version: VERSION, ..Default::default() };
-    if let Some(answers) = decide(node, &readable) {
-        let mut answers = answers.into_iter();
-        let decide_one = |readable| if readable { decided(answers.next().flatten()) } else { malformed() };
+    if let Some(decisions) = decide(node, &readable, Some(&batch.from)) {
+        let mut decisions = decisions.into_iter();
+        let mut next =
+            |readable| if readable { decisions.next().unwrap_or_else(|| decided(None)) } else { malformed() };
         answer.leading = true;
-        answer.decisions = is_readable.into_iter().map(decide_one).collect();
+        answer.decisions = is_readable.into_iter().map(&mut next).collect();
     }
     Some(answer.encode_to_vec())
 }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -80,6 +80,9 @@
     pub version: u32,
     #[prost(bytes = "bytes", repeated, tag = "2")]
     pub reports: Vec<Bytes>,
+    /// The controller that has taken them in.
+    #[prost(string, tag = "3")]
+    pub from: String,
 }
 
 /// What the leader has decided on each report of a batch, in the order of the batch.
