What planners are told of a round has a module of its own; inline tests move to test files

The view of 230 lines becomes steps of a few lines each, and its tuples become types. No behaviour changes: the tests are the same.

--- /dev/null
+++ b/src/config/tests.rs
@@ -0,0 +1,63 @@
+use super::*;
+
+#[test]
+fn settings_that_contradict_themselves_are_refused() {
+    let good = include_str!("../../tests/settings.json");
+    assert!(Settings::parse(good).is_ok());
+    for (from, to) in [
+        ("\"lease_s\": 10.0", "\"lease_s\": 29.0"),
+        ("\"rps\": 100.0", "\"rps\": 0.0"),
+        ("\"10.0.0.1:8080\"", "\"nowhere\""),
+        ("\"team-b\"", "\"team-a\""),
+        ("\"plinth-1\"", "\"plinth-0\""),
+    ] {
+        assert!(good.contains(from), "{from}");
+        assert!(Settings::parse(&good.replace(from, to)).is_err(), "{to}");
+    }
+}
+
+#[test]
+fn the_sockets_suffice_for_a_worker_each() {
+    let mut s = sample_settings();
+    // The least that platforms have promised for a fleet, with room for users.
+    for (limit, workers) in [(1_721, 740), (3_482, 1_982)] {
+        s.cluster.limits.sockets = limit;
+        let x = s.sockets();
+        assert!(x.public > workers * 11 / 10);
+        assert!(x.public + x.peers + x.own + x.orders <= limit * 98 / 100);
+    }
+}
+
+#[test]
+fn the_goal_is_the_next_aim_that_can_still_be_met() {
+    let mut s = sample_settings();
+    let aim =
+        |kind: &str, within_s: f64, times: f64| Objective { kind: kind.into(), class: "x".into(), within_s, times };
+    s.cluster.objectives = vec![aim("deadline", 0.0, 1.5), aim("wait", 30.0, 1.0), aim("finished", 200.0, 1.0)];
+    // A run of 20 s: the aim on starting ends at 50, the deadline at 60 and at 90, then 200.
+    let goal = |age| s.goal("x", Some(60.0), age, 20.0);
+    assert_eq!(goal(0.0), (Some(50.0), 0));
+    assert_eq!(goal(35.0), (Some(60.0), 1));
+    assert_eq!(goal(65.0), (Some(90.0), 2));
+    assert_eq!(goal(190.0), (None, 4));
+    assert_eq!(s.goal("other", None, 5.0, 20.0), (None, 0));
+}
+
+#[test]
+fn operators_settings_name_the_line_of_an_error() {
+    let t = Tuning::parse("<wallstile>\n <idle-s>60</idle-s>\n</wallstile>").unwrap();
+    assert_eq!(t.idle_s, 60.0);
+    assert_eq!(Tuning::parse("<wallstile/>").unwrap(), Tuning::default());
+    for (text, line, what) in [
+        ("<wallstile>\n<idel-s>1</idel-s></wallstile>", 2, "unknown"),
+        ("<wallstile>\n\n<idle-s>x</idle-s></wallstile>", 3, "number"),
+        ("<wallstile>\n<budget-share>1.5</budget-share></wallstile>", 2, "must be"),
+        ("<wallstile>\n<idle-s>1</idle-s>\n<idle-s>2</idle-s></wallstile>", 3, "twice"),
+        ("<wallstile>\n<idle-s>1</idle-s>\n", 3, "ends"),
+        ("<wallstile><idle-s>1</wallstile>", 1, ""),
+        ("", 1, "ends"),
+    ] {
+        let (l, m) = Tuning::parse(text).unwrap_err();
+        assert!(l == line && m.contains(what), "{text:?}: line {l}: {m}");
+    }
+}
--- a/src/core/leader/mod.rs
+++ b/src/core/leader/mod.rs
@@ -3,6 +3,7 @@
 //! carry out the actions it leaves behind.
 
 mod machines;
+mod planner_view;
 mod room;
 mod rounds;
 #[cfg(test)]
@@ -10,7 +11,8 @@
 mod workers;
 mod writes;
 
-use crate::config::{Settings, Tuning};
+use self::planner_view::PlannerView;
+use crate::config::{Settings, Team, Tuning};
 use crate::core::fleet::{Amount, Commission, FLEET, FleetRecord, Machine, Route, Sent, Slot, SlotKey, fleet_key};
 use crate::core::jobs::{
     self, BITS, ClassTimes, GangRun, Job, LIVE, LiveRecord, OverRecord, chunk_tasks, decode_bits, encode_bits,
@@ -27,8 +29,8 @@
 };
 use crate::time::{Mono, Span, Wall};
 use crate::wire::{
-    Cause, Change, DirectOrders, Guard, JobPhase, Kind, ListPhase, ListedMachine, LotPhase, LotReport, MachineType,
-    Order, Priority, RentRequest, Report, ReportAnswer, Row, Txn,
+    Cause, Change, DirectOrders, Guard, JobPhase, JobSpec, Kind, ListPhase, ListedMachine, LotPhase, LotReport,
+    MachineType, Order, Priority, RentRequest, Report, ReportAnswer, Row, Txn,
 };
 use fixedbitset::FixedBitSet;
 use log::{debug, info, warn};
@@ -216,9 +218,7 @@
 
 /// A round whose parts are planned by several controllers.
 struct Round {
-    input: PlanInput,
-    jobs: Vec<(JobId, bool)>,
-    machines: Vec<Option<MachineId>>,
+    view: PlannerView,
     outputs: Vec<PlanOutput>,
     /// Peers that haven't answered, with their parts.
     missing: BTreeMap<String, Arc<PlanInput>>,
@@ -522,76 +522,6 @@
     ReportAnswer { token, orders: Vec::new() }
 }
 
-/// The parts of a round's view that concern some of its jobs each. All parts see the machines that
-/// are up, each in an order of its own, so that where several are as good the parts choose different
-/// ones. Machines that aren't up are dealt out by what the parts want: counted on by all of them, a
-/// few booting machines looked like enough for everyone, and too few were rented.
-fn deal(input: &PlanInput, parts: &[&[u32]]) -> Vec<PlanInput> {
-    let jobs_of =
-        |keys: &[u32]| -> Vec<JobView> { keys.iter().filter_map(|k| input.jobs.get(*k as usize)).cloned().collect() };
-    let mut dealt: Vec<PlanInput> =
-        parts.iter().map(|keys| PlanInput { jobs: jobs_of(keys), ..Default::default() }).collect();
-    // What each part wants of machines without GPUs and of those with.
-    let wants = |gpus: bool| -> Vec<f64> {
-        let want = |j: &JobView| f64::from(j.ready) * if gpus { j.gpus } else { j.cpus };
-        dealt.iter().map(|p| p.jobs.iter().filter(|j| gpus == (j.gpus > 0.0)).map(want).sum()).collect()
-    };
-    let wants = [wants(false), wants(true)];
-    let mut given = [vec![1.0; parts.len()], vec![1.0; parts.len()]];
-    let (up, coming): (Vec<&MachineView>, Vec<&MachineView>) = input.machines.iter().partition(|m| m.up);
-    for (n, p) in dealt.iter_mut().enumerate() {
-        let first = up.len() * n / parts.len().max(1);
-        p.machines.extend(up[first..].iter().chain(&up[..first]).map(|m| (*m).clone()));
-        p.teams = input.teams.iter().filter(|t| p.jobs.iter().any(|j| j.team == t.team)).cloned().collect();
-    }
-    for m in coming {
-        let gpus = input.types.get(m.kind as usize).is_some_and(|t| t.gpus > 0.0);
-        let kind = usize::from(gpus && wants[1].iter().any(|w| *w > 0.0));
-        let ratio = |n: &usize| wants[kind][*n] / given[kind][*n];
-        if let Some(n) = (0..parts.len()).max_by(|a, b| ratio(a).total_cmp(&ratio(b))) {
-            given[kind][n] += 1.0;
-            dealt[n].machines.push(m.clone());
-        }
-    }
-    for p in &mut dealt {
-        (p.version, p.term, p.round, p.batch) = (input.version, input.term, input.round, input.batch);
-        (p.budget_share, p.spot_mu, p.spot_sigma) = (input.budget_share, input.spot_mu, input.spot_sigma);
-        p.types.clone_from(&input.types);
-        p.offers.clone_from(&input.offers);
-    }
-    dealt
-}
-
-fn type_view(t: &MachineType) -> TypeView {
-    TypeView {
-        cpus: t.cpus,
-        gpus: t.gpus,
-        memory_gb: t.memory_gb,
-        fetch_gb_per_s: t.fetch_gb_per_s,
-        price: t.price,
-        spot_price: t.spot_price,
-        boot_s: t.boot_s,
-    }
-}
-
-fn wall_age(now: Wall, then: Wall) -> f64 {
-    now.0.saturating_sub(then.0) as f64 / 1000.0
-}
-
-/// How many of a job's tasks are possibly in each zone.
-fn zone_counts(j: &Job, machines: &BTreeMap<MachineId, Machine>) -> Vec<ZoneCount> {
-    if !j.spec.spread && !j.spec.one_zone {
-        return Vec::new();
-    }
-    let mut zones: BTreeMap<u32, u32> = BTreeMap::new();
-    for (_, m, _) in j.places() {
-        if let Some(m) = machines.get(m) {
-            *zones.entry(m.zone).or_default() += 1;
-        }
-    }
-    zones.into_iter().map(|(zone, count)| ZoneCount { zone, count }).collect()
-}
-
 /// Most orders in one message, which has a limit of 64 KiB.
 const MAX_ORDERS: usize = 500;
 
--- /dev/null
+++ b/src/core/leader/planner_view.rs
@@ -0,0 +1,447 @@
+//! What planners are told of a round: the machines with room, the jobs that wait and what may be rented, and
+//! how this is dealt out among several planners.
+
+use super::*;
+
+/// Planners are told the ages of machines in steps of this.
+const AGE_STEP_S: f64 = 30.0;
+/// Seconds until a machine that has come up gets its first order.
+const SETTLING_S: f64 = 0.3;
+/// A machine that should be up by now may take this many seconds more.
+const LEAST_BOOT_S: f64 = 3.0;
+/// Work that is not urgent causes rentals only if the fleet needs longer than this for all that waits.
+const RENT_BEYOND_S: f64 = 8.0;
+/// Stands for "no limit" in messages.
+const UNLIMITED: f64 = 1e12;
+/// Most machines that one offer stands for.
+const OFFERED: u32 = 50;
+
+/// A planner's input, and what its keys stand for.
+pub(super) struct PlannerView {
+    pub input: PlanInput,
+    pub jobs: Vec<PlannedJob>,
+    /// None: a machine that has been asked for and has no name yet.
+    pub machines: Vec<Option<MachineId>>,
+}
+
+/// What a job's key stands for.
+pub(super) struct PlannedJob {
+    pub id: JobId,
+    /// Only those tasks of the job whose spot machines were taken.
+    pub reclaimed: bool,
+}
+
+/// The machines of a view, as they are gathered.
+#[derive(Default)]
+struct MachineViews {
+    views: Vec<MachineView>,
+    ids: Vec<Option<MachineId>>,
+    /// Processors of all machines that may get tasks now, with room or without.
+    cpus_up: f64,
+}
+
+impl MachineViews {
+    fn push(&mut self, id: Option<MachineId>, view: MachineView) {
+        self.views.push(MachineView { key: self.ids.len() as u32, ..view });
+        self.ids.push(id);
+    }
+}
+
+/// What holds for all jobs of a view.
+struct JobContext<'a> {
+    now: Mono,
+    wall: Wall,
+    waiting: &'a BTreeSet<JobId>,
+    guaranteed: &'a BTreeSet<JobId>,
+    machines: &'a [Option<MachineId>],
+    /// Seconds that the fleet needs for all that waits.
+    drain_s: f64,
+}
+
+/// How many tasks of a job a view offers.
+struct ReadyTasks {
+    all: u32,
+    /// Those of them whose spot machines were taken.
+    reclaimed: u32,
+}
+
+impl Leader {
+    /// The fleet and the ready tasks as the planner sees them, with what its keys stand for.
+    pub(super) fn planner_view(&mut self, now: Mono, wall: Wall) -> PlannerView {
+        self.usage = None;
+        self.dark = self.dark && self.machines.values().any(|m| !m.accounted);
+        let waits = |j: &Job| !j.ready.is_empty() && j.pause_until <= now && !j.finishing && !self.held_back(j);
+        let waiting: BTreeSet<JobId> = self.jobs.iter().filter(|(_, j)| waits(j)).map(|(id, _)| *id).collect();
+        self.lend(now, &waiting);
+        let mut machines = self.machine_views(now, self.least_need(&waiting));
+        self.add_requested(&mut machines);
+        let offers = self.offers(now);
+        let guaranteed = self.guaranteed();
+        let teams = self.teams_left();
+        let context = JobContext {
+            now,
+            wall,
+            waiting: &waiting,
+            guaranteed: &guaranteed,
+            machines: &machines.ids,
+            drain_s: self.drain_s(machines.cpus_up),
+        };
+        let (job_views, jobs) = self.job_views(&context);
+        // Batches widen with the load.
+        let wanted: u32 = job_views.iter().map(|j| j.ready).sum();
+        let batch = (wanted / 4).clamp(self.tuning.batch_min as u32, self.tuning.batch_max as u32);
+        let input = PlanInput {
+            version: VERSION,
+            term: self.term.0,
+            round: self.rounds,
+            types: self.types.iter().map(type_view).collect(),
+            machines: machines.views,
+            jobs: job_views,
+            teams,
+            offers,
+            batch,
+            budget_share: self.tuning.budget_share,
+            spot_mu: self.spot_lives.mu,
+            spot_sigma: self.spot_lives.sigma,
+        };
+        self.within_guarantee = guaranteed;
+        PlannerView { input, jobs, machines: machines.ids }
+    }
+
+    /// The least that any waiting task needs of a machine.
+    fn least_need(&self, waiting: &BTreeSet<JobId>) -> Option<Amount> {
+        let needs = waiting.iter().filter_map(|id| self.jobs.get(id)).map(|j| Amount::of_task(&j.spec));
+        needs.reduce(|least, need| Amount {
+            cpus: least.cpus.min(need.cpus),
+            gpus: least.gpus.min(need.gpus),
+            memory_gb: least.memory_gb.min(need.memory_gb),
+        })
+    }
+
+    /// The machines that are up or coming, as far as they have room for the least that anyone needs.
+    fn machine_views(&self, now: Mono, least: Option<Amount>) -> MachineViews {
+        let quiet = self.quiet();
+        let mut kept: BTreeMap<&MachineId, Amount> = BTreeMap::new();
+        for r in &self.reservations {
+            kept.entry(&r.machine).or_default().add(&r.need);
+        }
+        let mut all = MachineViews::default();
+        for (id, m) in &self.machines {
+            let t = &self.types[m.kind];
+            let usable = m.usable(now, quiet);
+            let booting = !m.up && !m.doomed && m.commission == Commission::No;
+            let settling = m.up && !m.doomed && m.accounted && m.commission != Commission::Yes;
+            if !usable && !booting && !settling {
+                continue;
+            }
+            if usable {
+                all.cpus_up += t.cpus;
+            }
+            let mut free = m.free(t);
+            if let Some(kept) = kept.get(id) {
+                free.sub(kept);
+            }
+            if least.is_none_or(|least| !free.holds(&least)) {
+                continue;
+            }
+            let age_s = (now - m.since).as_secs();
+            let ready_s = match (usable, settling) {
+                (true, _) => 0.0,
+                (false, true) => SETTLING_S,
+                (false, false) => (t.boot_s - age_s).max(LEAST_BOOT_S),
+            };
+            let view = self.machine_view(now, id, m, &free);
+            all.push(Some(id.clone()), MachineView { up: usable, ready_s, ..view });
+        }
+        all
+    }
+
+    fn machine_view(&self, now: Mono, id: &MachineId, m: &Machine, free: &Amount) -> MachineView {
+        let spare = self.spare(m);
+        let rest = self.rest(m, !m.up || self.lent.contains(id));
+        let age_s = (now - m.since).as_secs();
+        let image =
+            |(image, _): &(u32, f64)| ImageView { image: *image, ready_s: m.image_ready(*image, now).unwrap_or(0.0) };
+        MachineView {
+            kind: m.kind as u32,
+            zone: m.zone,
+            spot: m.spot,
+            age_s: (age_s / AGE_STEP_S).floor() * AGE_STEP_S,
+            free_cpus: free.cpus,
+            free_gpus: free.gpus,
+            free_memory_gb: free.memory_gb,
+            images: m.images.iter().map(image).collect(),
+            // Coarse, so that places which hardly differ compare as equal.
+            slowness: (m.slowness * 4.0).round().max(1.0) / 4.0,
+            spare_cpus: spare.cpus,
+            spare_memory_gb: spare.memory_gb,
+            rest_cpus: rest.cpus,
+            rest_memory_gb: rest.memory_gb,
+            ..Default::default()
+        }
+    }
+
+    /// Machines that the cloud has been asked for.
+    fn add_requested(&self, all: &mut MachineViews) {
+        for r in self.rentals.requests.values() {
+            let t = &self.types[r.market.kind];
+            let view = MachineView {
+                kind: r.market.kind as u32,
+                zone: r.market.zone,
+                spot: r.market.spot,
+                ready_s: t.boot_s,
+                free_cpus: t.cpus,
+                free_gpus: t.gpus,
+                free_memory_gb: t.memory_gb,
+                rest_cpus: t.cpus,
+                rest_memory_gb: t.memory_gb,
+                slowness: 1.0,
+                ..Default::default()
+            };
+            for _ in 0..r.number {
+                all.push(None, view.clone());
+            }
+        }
+    }
+
+    /// What each team may still use.
+    fn teams_left(&mut self) -> Vec<TeamLeft> {
+        self.count_usage();
+        let Some(usage) = &self.usage else { return Vec::new() };
+        let left = |most: f64, used: f64, dark: f64| {
+            if most > 0.0 { (most - used - dark).max(0.0) } else { UNLIMITED }
+        };
+        let team = |(i, (t, used)): (usize, (&Team, &Amount))| TeamLeft {
+            team: i as u32,
+            cpus: left(t.cpus_max, used.cpus, usage.dark.cpus),
+            gpus: left(t.gpus_max, used.gpus, usage.dark.gpus),
+        };
+        self.settings.cluster.teams.iter().zip(&usage.teams).enumerate().map(team).collect()
+    }
+
+    /// Seconds that so many processors need for all that waits.
+    fn drain_s(&self, cpus_up: f64) -> f64 {
+        let work = |j: &Job| j.ready.len() as f64 * j.spec.cpus * self.times.expect(&j.spec.class, j.spec.estimate_s);
+        let backlog: f64 = self.jobs.values().map(work).sum();
+        if cpus_up > 0.0 { backlog / cpus_up } else { f64::INFINITY }
+    }
+
+    /// The jobs that wait. Tasks whose spot machines were taken are a row of their own, as they may not
+    /// cause spot rentals.
+    fn job_views(&mut self, context: &JobContext) -> (Vec<JobView>, Vec<PlannedJob>) {
+        let mut views: Vec<JobView> = Vec::new();
+        let mut planned = Vec::new();
+        let mut push = |id: JobId, view: JobView, reclaimed: bool| {
+            views.push(JobView { key: planned.len() as u32, ..view });
+            planned.push(PlannedJob { id, reclaimed });
+        };
+        for id in context.waiting {
+            let Some(job) = self.jobs.get(id) else { continue };
+            let Some(ready) = self.ready_tasks(id, job) else { continue };
+            let next = self.images.len() as u32;
+            let image = *self.images.entry(job.spec.image.clone()).or_insert(next);
+            let base = JobView { image, ..self.job_view(context, id, job) };
+            if base.gang || ready.reclaimed == 0 || ready.reclaimed == ready.all {
+                let new_spot = base.new_spot && ready.reclaimed == 0;
+                push(*id, JobView { ready: ready.all, new_spot, ..base }, ready.reclaimed > 0);
+            } else {
+                push(*id, JobView { ready: ready.all - ready.reclaimed, ..base.clone() }, false);
+                push(*id, JobView { ready: ready.reclaimed, new_spot: false, ..base }, true);
+            }
+        }
+        (views, planned)
+    }
+
+    /// The tasks of a job that may be placed now; none: none may.
+    fn ready_tasks(&self, id: &JobId, job: &Job) -> Option<ReadyTasks> {
+        let gang = job.spec.kind == Kind::Gang;
+        if gang && (job.gang.is_some() || !job.placed.is_empty()) {
+            return None;
+        }
+        let reserved = self.reservations.iter().filter(|r| r.job == *id).count() as u32;
+        let all = (job.ready.len() as u32).saturating_sub(reserved);
+        if all == 0 || gang && reserved > 0 {
+            return None;
+        }
+        let reclaimed = job.reclaimed.iter().filter(|i| job.ready.contains(i)).count() as u32;
+        Some(ReadyTasks { all, reclaimed: reclaimed.min(all) })
+    }
+
+    fn job_view(&self, context: &JobContext, id: &JobId, job: &Job) -> JobView {
+        let spec = &job.spec;
+        let service = spec.kind == Kind::Service;
+        let guaranteed = context.guaranteed.contains(id);
+        let age_s = wall_age(context.wall, job.submitted);
+        let run_s = match service {
+            true => self.tuning.service_horizon_s,
+            false => self.times.expect(&spec.class, spec.estimate_s).max(0.1),
+        };
+        // An aim on starting that can still be met is a deadline too.
+        let aim = self.settings.start_aim(&spec.class, guaranteed);
+        let aim = aim.filter(|aim| *aim > age_s).map(|aim| aim - age_s + run_s);
+        let (goal, missed) = self.settings.goal(&spec.class, spec.deadline_s, age_s, run_s);
+        let at_fault = job.at_fault(context.now);
+        JobView {
+            team: job.team,
+            priority: priority_number(spec.priority),
+            gang: spec.kind == Kind::Gang,
+            tasks: spec.tasks,
+            cpus: spec.cpus,
+            gpus: spec.gpus,
+            memory_gb: spec.memory_gb,
+            image_gb: spec.image_gb,
+            types: self.allowed_types(spec),
+            zone: spec.zone.as_ref().map(|zone| self.zone_number(zone)),
+            one_zone: spec.one_zone,
+            spread: spec.spread,
+            spot: spec.spot,
+            new_spot: spec.spot && !job.no_new_spot,
+            run_s,
+            due_s: spec.deadline_s.map(|due| due - age_s).into_iter().chain(aim).reduce(f64::min),
+            goal_s: goal.map(|goal| goal - age_s),
+            missed: if service { 0 } else { missed },
+            service,
+            age_s,
+            overspent: job.overspent,
+            placed: zone_counts(job, &self.machines),
+            avoid: if at_fault { Vec::new() } else { avoided(job, context) },
+            guaranteed,
+            may_rent: !at_fault && (spec.priority <= Priority::High || context.drain_s > RENT_BEYOND_S),
+            ..Default::default()
+        }
+    }
+
+    /// The numbers of the types that a job names; one that no type has stands for none that is known.
+    fn allowed_types(&self, spec: &JobSpec) -> Vec<u32> {
+        let Some(names) = &spec.types else { return Vec::new() };
+        let number = |name: &String| self.types.iter().position(|t| t.name == *name).map(|i| i as u32);
+        let known: Vec<u32> = names.iter().filter_map(number).collect();
+        if known.is_empty() { vec![u32::MAX] } else { known }
+    }
+
+    /// A zone's number; one that no zone has if it isn't known.
+    fn zone_number(&self, zone: &String) -> u32 {
+        self.zones.iter().position(|known| known == zone).map_or(u32::MAX, |i| i as u32)
+    }
+
+    fn offers(&self, now: Mono) -> Vec<Offer> {
+        let mut offers = Vec::new();
+        for (kind, t) in self.types.iter().enumerate() {
+            for zone in t.zones.iter().filter_map(|z| self.zones.iter().position(|o| o == z)) {
+                for spot in [false, true] {
+                    let market = Market { kind, zone: zone as u32, spot };
+                    let asked = self.rentals.requests.values().any(|r| r.market == market);
+                    if self.rentals.open(market, now) && !asked && self.rentals.has_room() {
+                        offers.push(Offer { kind: kind as u32, zone: zone as u32, spot, most: OFFERED });
+                    }
+                }
+            }
+        }
+        offers
+    }
+
+    /// Jobs that fit into their team's guarantee together with the team's earlier ones.
+    fn guaranteed(&self) -> BTreeSet<JobId> {
+        let mut by_team: BTreeMap<u32, Vec<(&JobId, &Job)>> = BTreeMap::new();
+        for (id, j) in &self.jobs {
+            by_team.entry(j.team).or_default().push((id, j));
+        }
+        let mut set = BTreeSet::new();
+        for (team, mut jobs) in by_team {
+            let Some(t) = self.settings.cluster.teams.get(team as usize) else { continue };
+            if t.cpus <= 0.0 && t.gpus <= 0.0 {
+                continue;
+            }
+            jobs.sort_by_key(|(id, j)| (j.submitted, *(*id)));
+            let (mut cpus, mut gpus) = (0.0, 0.0);
+            for (id, j) in jobs {
+                let n = f64::from(j.spec.tasks);
+                cpus += n * j.spec.cpus;
+                gpus += n * j.spec.gpus;
+                if cpus <= t.cpus + 1e-9 && gpus <= t.gpus + 1e-9 {
+                    set.insert(*id);
+                }
+            }
+        }
+        set
+    }
+}
+
+/// The keys of the machines on which a job's tasks have failed lately.
+fn avoided(job: &Job, context: &JobContext) -> Vec<u32> {
+    if job.error_machines.is_empty() {
+        return Vec::new();
+    }
+    let failed = |id: &Option<MachineId>| id.as_ref().is_some_and(|id| job.avoids(id, context.now));
+    context.machines.iter().enumerate().filter(|(_, id)| failed(id)).map(|(key, _)| key as u32).collect()
+}
+
+/// The parts of a round's view that concern some of its jobs each. All parts see the machines that
+/// are up, each in an order of its own, so that where several are as good the parts choose different
+/// ones. Machines that aren't up are dealt out by what the parts want: counted on by all of them, a
+/// few booting machines looked like enough for everyone, and too few were rented.
+pub(super) fn deal(input: &PlanInput, parts: &[&[u32]]) -> Vec<PlanInput> {
+    let jobs_of =
+        |keys: &[u32]| -> Vec<JobView> { keys.iter().filter_map(|k| input.jobs.get(*k as usize)).cloned().collect() };
+    let mut dealt: Vec<PlanInput> =
+        parts.iter().map(|keys| PlanInput { jobs: jobs_of(keys), ..Default::default() }).collect();
+    // What each part wants of machines without GPUs and of those with.
+    let wants = |gpus: bool| -> Vec<f64> {
+        let want = |j: &JobView| f64::from(j.ready) * if gpus { j.gpus } else { j.cpus };
+        dealt.iter().map(|p| p.jobs.iter().filter(|j| gpus == (j.gpus > 0.0)).map(want).sum()).collect()
+    };
+    let wants = [wants(false), wants(true)];
+    let mut given = [vec![1.0; parts.len()], vec![1.0; parts.len()]];
+    let (up, coming): (Vec<&MachineView>, Vec<&MachineView>) = input.machines.iter().partition(|m| m.up);
+    for (n, p) in dealt.iter_mut().enumerate() {
+        let first = up.len() * n / parts.len().max(1);
+        p.machines.extend(up[first..].iter().chain(&up[..first]).map(|m| (*m).clone()));
+        p.teams = input.teams.iter().filter(|t| p.jobs.iter().any(|j| j.team == t.team)).cloned().collect();
+    }
+    for m in coming {
+        let gpus = input.types.get(m.kind as usize).is_some_and(|t| t.gpus > 0.0);
+        let kind = usize::from(gpus && wants[1].iter().any(|w| *w > 0.0));
+        let ratio = |n: &usize| wants[kind][*n] / given[kind][*n];
+        if let Some(n) = (0..parts.len()).max_by(|a, b| ratio(a).total_cmp(&ratio(b))) {
+            given[kind][n] += 1.0;
+            dealt[n].machines.push(m.clone());
+        }
+    }
+    for p in &mut dealt {
+        (p.version, p.term, p.round, p.batch) = (input.version, input.term, input.round, input.batch);
+        (p.budget_share, p.spot_mu, p.spot_sigma) = (input.budget_share, input.spot_mu, input.spot_sigma);
+        p.types.clone_from(&input.types);
+        p.offers.clone_from(&input.offers);
+    }
+    dealt
+}
+
+fn type_view(t: &MachineType) -> TypeView {
+    TypeView {
+        cpus: t.cpus,
+        gpus: t.gpus,
+        memory_gb: t.memory_gb,
+        fetch_gb_per_s: t.fetch_gb_per_s,
+        price: t.price,
+        spot_price: t.spot_price,
+        boot_s: t.boot_s,
+    }
+}
+
+pub(super) fn wall_age(now: Wall, then: Wall) -> f64 {
+    now.0.saturating_sub(then.0) as f64 / 1000.0
+}
+
+/// How many of a job's tasks are possibly in each zone.
+pub(super) fn zone_counts(j: &Job, machines: &BTreeMap<MachineId, Machine>) -> Vec<ZoneCount> {
+    if !j.spec.spread && !j.spec.one_zone {
+        return Vec::new();
+    }
+    let mut zones: BTreeMap<u32, u32> = BTreeMap::new();
+    for (_, m, _) in j.places() {
+        if let Some(m) = machines.get(m) {
+            *zones.entry(m.zone).or_default() += 1;
+        }
+    }
+    zones.into_iter().map(|(zone, count)| ZoneCount { zone, count }).collect()
+}
--- a/src/core/leader/room.rs
+++ b/src/core/leader/room.rs
@@ -1,5 +1,6 @@
 //! Room for urgent work: preemption, the room it makes, and moving replicas together.
 
+use super::planner_view::{PlannedJob, PlannerView, wall_age, zone_counts};
 use super::*;
 
 /// How long the most GPUs that jobs have wanted are kept free for them, about a run's time of the
@@ -8,10 +9,10 @@
 
 impl Leader {
     /// Tasks that found no machine that is up: preemption, and the paper's second fall-back.
-    pub(super) fn heed_waiting(&mut self, now: Mono, input: &PlanInput, out: &PlanOutput, jobs: &[(JobId, bool)]) {
+    pub(super) fn heed_waiting(&mut self, now: Mono, view: &PlannerView, out: &PlanOutput) {
         for w in &out.waiting {
-            let Some((id, _)) = jobs.get(w.job as usize) else { continue };
-            let Some(view) = input.jobs.get(w.job as usize) else { continue };
+            let Some(PlannedJob { id, .. }) = view.jobs.get(w.job as usize) else { continue };
+            let Some(view) = view.input.jobs.get(w.job as usize) else { continue };
             if let Some(j) = self.jobs.get_mut(id) {
                 if w.on_spot {
                     let since = *j.spot_wait_since.get_or_insert(now);
--- a/src/core/leader/tests.rs
+++ b/src/core/leader/tests.rs
@@ -1,5 +1,6 @@
 //! Single situations, played against a leader with workers that answer at once.
 
+use super::planner_view::deal;
 use super::*;
 use crate::config::sample_settings;
 use crate::ids::{LeaseId, Session, Tally};
--- /dev/null
+++ b/src/core/miser/tests.rs
@@ -0,0 +1,201 @@
+use super::*;
+use crate::peer::{ImageView, MachineView, Offer, TeamLeft, TypeView};
+
+fn kind(cpus: f64, gpus: f64, price: f64) -> TypeView {
+    let spot_price = price / 3.0;
+    TypeView { cpus, gpus, memory_gb: 32.0, fetch_gb_per_s: 0.5, price, spot_price, boot_s: 30.0 }
+}
+
+fn machine(key: u32, free_cpus: f64) -> MachineView {
+    MachineView { key, up: true, free_cpus, free_memory_gb: 32.0, slowness: 1.0, ..Default::default() }
+}
+
+fn job(key: u32, ready: u32) -> JobView {
+    JobView {
+        key,
+        ready,
+        tasks: ready,
+        cpus: 2.0,
+        memory_gb: 1.0,
+        image_gb: 1.0,
+        run_s: 36.0,
+        spot: true,
+        new_spot: true,
+        may_rent: true,
+        priority: 2,
+        ..Default::default()
+    }
+}
+
+fn input(machines: Vec<MachineView>, jobs: Vec<JobView>) -> PlanInput {
+    PlanInput {
+        version: VERSION,
+        types: vec![kind(8.0, 0.0, 1.0)],
+        machines,
+        jobs,
+        batch: 100,
+        budget_share: 0.25,
+        spot_mu: 5400f64.ln(),
+        spot_sigma: 1.0,
+        ..Default::default()
+    }
+}
+
+fn put(out: &PlanOutput) -> Vec<(u32, u32, u32)> {
+    out.placements.iter().map(|p| (p.job, p.machine, p.count)).collect()
+}
+
+#[test]
+fn reliability_is_one_minus_the_log_normal() {
+    let mu = 5400f64.ln();
+    // At the median one half; one sigma below it 0.1587 (tables of the normal distribution).
+    assert!((log_normal_cdf(5400.0, mu, 1.0) - 0.5).abs() < 1e-9);
+    assert!((log_normal_cdf(5400.0 / 1f64.exp(), mu, 1.0) - 0.158_655).abs() < 1e-5);
+    assert_eq!(log_normal_cdf(0.0, mu, 1.0), 0.0);
+}
+
+#[test]
+fn time_and_cost_follow_the_formulas() {
+    let mut booting = machine(1, 8.0);
+    (booting.up, booting.ready_s, booting.spot) = (false, 12.0, true);
+    let mut i = input(vec![machine(0, 8.0), booting], vec![job(0, 1)]);
+    i.offers = vec![Offer { kind: 0, zone: 0, spot: false, most: 1 }];
+    let p = Planner::new(&i);
+    // Running: 1 GB at 0.5 GB/s, then 36 s, on a quarter of a machine at 1.0 an hour.
+    let up = p.choice(&i.jobs[0], 0).unwrap();
+    assert_eq!((up.finish_s, up.start_s, up.reliability), (38.0, 2.0, 1.0));
+    assert!((up.cost - 0.25 * 38.0 / 3600.0).abs() < 1e-12);
+    // Booting and spot: 12 s later, a third of the price, less reliable.
+    let boot = p.choice(&i.jobs[0], 1).unwrap();
+    assert_eq!(boot.finish_s, 50.0);
+    assert!((boot.cost - 0.25 * 38.0 / 3600.0 / 3.0).abs() < 1e-12);
+    assert!((boot.reliability - (1.0 - log_normal_cdf(50.0, i.spot_mu, 1.0))).abs() < 1e-12);
+    // New: the one task that asks for it pays the whole boot.
+    let new = p.choice(&i.jobs[0], 2).unwrap();
+    assert_eq!(new.finish_s, 68.0);
+    assert!((new.cost - (0.25 * 38.0 + 30.0) / 3600.0).abs() < 1e-12);
+}
+
+#[test]
+fn quality_adds_up_three_parts() {
+    let c = |finish_s, cost, reliability| Choice { finish_s, start_s: 0.0, cost, reliability, spot: false };
+    let (lo, hi) = (c(10.0, 1.0, 0.0), c(30.0, 5.0, 0.0));
+    assert!((quality(&c(15.0, 4.0, 0.9), &lo, &hi) - (0.75 + 0.25 + 0.9)).abs() < 1e-12);
+    assert!((quality(&c(10.0, 1.0, 1.0), &lo, &lo) - 3.0).abs() < 1e-12, "nothing to choose between");
+}
+
+#[test]
+fn spot_loses_the_run_time_of_its_sub_deadline_and_an_unfilled_request_ends() {
+    assert_eq!((sub_deadline(100.0, 30.0, true), sub_deadline(100.0, 30.0, false)), (70.0, 100.0));
+    // Sub-deadline 70, finish 50: 20 s of slack against a slip of 8 s and a window of 10 s.
+    assert!(!spot_wait_is_over(70.0, 50.0, 8.0, 10.0));
+    assert!(spot_wait_is_over(70.0, 50.0, 11.0, 10.0));
+}
+
+#[test]
+fn the_cost_filter_holds_until_the_budget_is_spent() {
+    // Two kinds, one five times as dear; the dear machine holds the image.
+    let mut dear = machine(1, 8.0);
+    dear.kind = 1;
+    dear.images = vec![ImageView { image: 0, ready_s: 0.0 }];
+    let mut i = input(vec![machine(0, 8.0), dear], vec![job(0, 4)]);
+    i.types.push(kind(8.0, 0.0, 5.0));
+    i.budget_share = 0.0;
+    assert_eq!(put(&plan(&i)), [(0, 0, 4)], "no budget beyond the cheapest");
+    // With the whole range as its budget the job may choose by quality; both ends of time and
+    // cost weigh the same, and the first of equals wins.
+    i.budget_share = 1.0;
+    i.jobs[0].due_s = Some(37.0);
+    assert_eq!(put(&plan(&i)), [(0, 1, 4)], "only the dear machine is in time");
+}
+
+#[test]
+fn when_nothing_passes_the_filters_the_best_of_all_is_taken() {
+    let mut i = input(vec![machine(0, 8.0)], vec![job(0, 1)]);
+    i.jobs[0].due_s = Some(-100.0);
+    assert_eq!(put(&plan(&i)), [(0, 0, 1)]);
+}
+
+#[test]
+fn jobs_take_turns_and_the_urgent_go_first() {
+    let mut i = input(vec![machine(0, 8.0)], vec![job(0, 4), job(1, 4), job(2, 1)]);
+    i.jobs[2].priority = 0;
+    let out = plan(&i);
+    assert_eq!(put(&out), [(2, 0, 1), (0, 0, 2), (1, 0, 1)]);
+    assert_eq!(out.waiting.iter().map(|w| w.count).sum::<u32>(), 5);
+}
+
+#[test]
+fn what_can_still_be_in_time_goes_first() {
+    let mut i = input(vec![machine(0, 8.0)], vec![job(0, 4), job(1, 4)]);
+    i.jobs[0].missed = 1;
+    assert_eq!(put(&plan(&i)), [(1, 0, 4)]);
+}
+
+#[test]
+fn a_long_queue_asks_for_machines_beyond_its_batch() {
+    // One machine is up; of 40 tasks, four to a machine, a batch of 4 starts.
+    let mut i = input(vec![machine(0, 8.0)], vec![job(0, 40)]);
+    i.batch = 4;
+    i.offers = vec![Offer { kind: 0, zone: 0, spot: false, most: 50 }];
+    let out = plan(&i);
+    assert_eq!(put(&out), [(0, 0, 4)]);
+    // Those that wait say how many machines they want: within the batch's outlook, all.
+    i.jobs[0].ready = 36;
+    i.machines.clear();
+    assert_eq!(plan(&i).wishes.len(), 8, "32 tasks at 8 CPUs a machine");
+}
+
+#[test]
+fn services_take_gpu_machines_only_where_nothing_else_is_up() {
+    let mut gpu = machine(1, 8.0);
+    (gpu.kind, gpu.spare_cpus, gpu.spare_memory_gb) = (1, 2.0, 8.0);
+    let mut i = input(vec![machine(0, 4.0), gpu], vec![job(0, 4)]);
+    i.types.push(kind(8.0, 2.0, 9.0));
+    (i.jobs[0].service, i.jobs[0].priority) = (true, 0);
+    // Two on the plain machine, one in the 2 CPUs that GPU jobs leave of the other, and the last
+    // where it can, as GPU jobs come after services.
+    assert_eq!(put(&plan(&i)), [(0, 0, 2), (0, 1, 2)]);
+    i.jobs[0].service = false;
+    assert_eq!(put(&plan(&i)), [(0, 0, 2), (0, 1, 1)], "other urgent work leaves them their room");
+}
+
+#[test]
+fn a_gang_finds_the_zone_that_holds_it() {
+    // The best place for one task is in zone 0, which can't hold three.
+    let (mut a, mut b) = (machine(0, 4.0), machine(1, 8.0));
+    (a.zone, b.zone) = (0, 1);
+    a.images = vec![ImageView { image: 0, ready_s: 0.0 }];
+    b.free_memory_gb = 8.0;
+    let mut i = input(vec![a, b], vec![job(0, 3)]);
+    (i.jobs[0].gang, i.jobs[0].one_zone) = (true, true);
+    assert_eq!(put(&plan(&i)), [(0, 1, 3)]);
+}
+
+#[test]
+fn gangs_go_whole_and_zones_are_minded() {
+    let mut other = machine(1, 8.0);
+    other.zone = 1;
+    let mut i = input(vec![machine(0, 4.0), other], vec![job(0, 5)]);
+    i.jobs[0].gang = true;
+    assert_eq!(put(&plan(&i)), [(0, 0, 2), (0, 1, 3)]);
+    i.jobs[0].one_zone = true;
+    assert!(put(&plan(&i)).is_empty(), "no zone holds all five");
+    i.jobs[0] = JobView { spread: true, ..job(0, 3) };
+    let out = plan(&i);
+    assert!(out.placements.iter().all(|p| p.count <= 2), "at most half, rounded up, in a zone");
+}
+
+#[test]
+fn a_team_gets_no_more_than_is_left_to_it() {
+    let mut i = input(vec![machine(0, 8.0)], vec![job(0, 4)]);
+    i.teams = vec![TeamLeft { team: 0, cpus: 5.0, gpus: 0.0 }];
+    assert_eq!(put(&plan(&i)), [(0, 0, 2)]);
+}
+
+#[test]
+fn a_view_that_refers_to_nothing_is_refused() {
+    let mut i = input(vec![machine(0, 8.0)], vec![job(0, 4)]);
+    i.machines[0].kind = 7;
+    assert_eq!(plan(&i), PlanOutput::default());
+}
