--- a/benches/core.rs
+++ b/benches/core.rs
@@ -81,7 +81,7 @@
                     }
                     Action::Rent(r) => {
                         at = Instant::now();
-                        leader.on_rented(Mono(now), &r.hire, RentResult::NoCapacity);
+                        leader.on_rented(Mono(now), &r.name, RentResult::NoCapacity);
                     }
                     Action::Return(_) | Action::Plan { .. } | Action::Reguard(_) => continue,
                 }
--- a/benches/support/worker.rs
+++ b/benches/support/worker.rs
@@ -1,8 +1,8 @@
 //! A simulated worker: executes orders at once and ends its tasks after a fixed time.
 
 use std::collections::BTreeMap;
-use wallstile::ids::{Attempt, FencingToken, Session, Tally, TaskId};
-use wallstile::wire::{Cause, LotPhase, LotReport, Order, Report};
+use wallstile::ids::{Attempt, FencingToken, Sequence, Session, TaskId};
+use wallstile::wire::{Cause, Order, Report, TaskPhase, TaskReport};
 
 /// How long each task runs.
 pub const RUN_MS: u64 = 20_000;
@@ -35,10 +35,10 @@
             zone: if index.is_multiple_of(2) { "a" } else { "b" }.into(),
             spot: false,
             session: Session(1),
-            tally: Tally(0),
+            sequence: Sequence(0),
             token: FencingToken::NONE,
             notice_s: None,
-            lots: Vec::new(),
+            tasks: Vec::new(),
         };
         Worker { report, ends: BTreeMap::new(), report_at: index as u64 * REPORT_MS / machines as u64 }
     }
@@ -46,25 +46,25 @@
     pub fn execute(&mut self, now: u64, orders: &[Order]) {
         for order in orders {
             match order {
-                Order::Run { lot, attempt } => {
-                    let lot_report = LotReport {
-                        lot: Some(*lot),
+                Order::Run { task, attempt } => {
+                    let listed = TaskReport {
+                        task: Some(*task),
                         attempt: *attempt,
-                        phase: LotPhase::Running,
+                        phase: TaskPhase::Running,
                         cause: None,
                         kept: None,
                     };
-                    self.report.lots.push(lot_report);
-                    self.ends.insert((*lot, *attempt), now + RUN_MS);
+                    self.report.tasks.push(listed);
+                    self.ends.insert((*task, *attempt), now + RUN_MS);
                 }
-                Order::Stop { lot, attempt, .. } => {
-                    let same = |l: &&mut LotReport| l.lot == Some(*lot) && l.attempt == *attempt;
-                    for listed in self.report.lots.iter_mut().filter(same) {
-                        (listed.phase, listed.cause) = (LotPhase::Exited, Some(Cause::Halted));
+                Order::Stop { task, attempt, .. } => {
+                    let same = |l: &&mut TaskReport| l.task == Some(*task) && l.attempt == *attempt;
+                    for listed in self.report.tasks.iter_mut().filter(same) {
+                        (listed.phase, listed.cause) = (TaskPhase::Exited, Some(Cause::Halted));
                     }
                 }
-                Order::Clear { lot, attempt } => {
-                    self.report.lots.retain(|l| l.lot != Some(*lot) || l.attempt != *attempt);
+                Order::Clear { task, attempt } => {
+                    self.report.tasks.retain(|l| l.task != Some(*task) || l.attempt != *attempt);
                 }
             }
         }
@@ -72,18 +72,18 @@
 
     /// The next report, or the answer to orders.
     pub fn next_report(&mut self) -> Report {
-        self.report.tally = Tally(self.report.tally.0 + 1);
+        self.report.sequence = Sequence(self.report.sequence.0 + 1);
         self.report.clone()
     }
 
     /// Ends tasks that have run their time; true: something has changed.
     pub fn step(&mut self, now: u64) -> bool {
         let mut changed = false;
-        for listed in self.report.lots.iter_mut().filter(|l| l.phase != LotPhase::Exited) {
-            let Some(task) = listed.lot else { continue };
+        for listed in self.report.tasks.iter_mut().filter(|l| l.phase != TaskPhase::Exited) {
+            let Some(task) = listed.task else { continue };
             let key = (task, listed.attempt);
             if self.ends.get(&key).is_some_and(|t| *t <= now) {
-                (listed.phase, listed.cause) = (LotPhase::Exited, Some(Cause::Done));
+                (listed.phase, listed.cause) = (TaskPhase::Exited, Some(Cause::Done));
                 self.ends.remove(&key);
                 changed = true;
             }
--- a/src/core/cancellations.rs
+++ b/src/core/cancellations.rs
@@ -16,10 +16,6 @@
 }
 
 impl Cancellations {
-    pub fn new() -> Cancellations {
-        Cancellations::default()
-    }
-
     /// The state service is at this revision. Whatever an earlier process here has told anybody
     /// isn't newer than the first revision that this one sees.
     pub fn at_revision(&mut self, revision: Revision) {
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -3,12 +3,16 @@
 //! A task counts as on a machine from before its order is sent until there is proof that it is
 //! gone. What counts as proof is decided here and in [`super::leader`], nowhere else.
 
-use crate::ids::{Attempt, FencingToken, MachineId, Session, Tally, TaskId};
+use crate::ids::{Attempt, FencingToken, MachineId, Sequence, Session, TaskId};
 use crate::time::{Mono, Span};
-use crate::wire::{JobSpec, LotPhase, MachineType, Order, Priority};
+use crate::wire::{JobSpec, MachineType, Order, Priority, TaskPhase};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
+/// How long a machine is avoided that has failed, or is much slower than others. Nothing may wait for
+/// 90 s while there is room that fits.
+pub const AVOIDED_FOR: Span = Span(60_000);
+
 /// `fleet/ID` is written before a machine gets its first order.
 pub const FLEET: &str = "fleet/";
 
@@ -69,7 +73,7 @@
     pub team: Option<u32>,
     pub priority: Priority,
     /// None: not listed by the worker yet.
-    pub phase: Option<LotPhase>,
+    pub phase: Option<TaskPhase>,
     pub sent: Option<Sent>,
     /// Which of its machine's lists was the last to have it.
     pub listed: u64,
@@ -87,12 +91,12 @@
 
 impl Slot {
     pub fn exited(&self) -> bool {
-        self.phase == Some(LotPhase::Exited)
+        self.phase == Some(TaskPhase::Exited)
     }
 
     /// Listed before in this phase, with nothing ordered since and nothing to do about it.
-    pub fn as_before(&self, phase: LotPhase) -> bool {
-        self.phase == Some(phase) && phase != LotPhase::Exited && self.sent.is_none() && self.stop.is_none()
+    pub fn as_before(&self, phase: TaskPhase) -> bool {
+        self.phase == Some(phase) && phase != TaskPhase::Exited && self.sent.is_none() && self.stop.is_none()
     }
 }
 
@@ -130,9 +134,9 @@
     /// When the session was first heard of. Its lease counts from its beginning, which was before, even
     /// if no report of it has been answered.
     pub session_heard_at: Mono,
-    pub tally: Tally,
-    /// The latest *report*; orders' answers count their tallies on as well, but are no reports.
-    pub reported: (Session, Tally),
+    pub sequence: Sequence,
+    /// The latest *report*; orders' answers count their sequence numbers on as well, but are no reports.
+    pub reported: (Session, Sequence),
     /// When the last report that was answered came in. A copy of an earlier one is no sign of life.
     pub last_report: Mono,
     /// The way that it took.
@@ -143,7 +147,7 @@
     pub confirmed: bool,
     /// Since when it has been answered without reporting the token that it was told. Its reports
     /// arrive, but nothing may reach it.
-    pub deaf_since: Option<Mono>,
+    pub unacknowledged_since: Option<Mono>,
     /// Everything possibly on it is in `slots`: it has reported under this leader's token, or
     /// never had an order, or is proven empty.
     pub accounted: bool,
@@ -182,13 +186,13 @@
             commission: Commission::No,
             session: Session(0),
             session_heard_at: now,
-            tally: Tally(0),
-            reported: (Session(0), Tally(0)),
+            sequence: Sequence(0),
+            reported: (Session(0), Sequence(0)),
             last_report: now,
             route: Route::DIRECT,
             ended: false,
             confirmed: false,
-            deaf_since: None,
+            unacknowledged_since: None,
             accounted: true,
             fence: 0,
             fencing: false,
@@ -269,7 +273,7 @@
             let pulling = self
                 .slots
                 .values()
-                .filter(|s| s.image == image && s.fetch_s > 0.0 && matches!(s.phase, None | Some(LotPhase::Pulling)));
+                .filter(|s| s.image == image && s.fetch_s > 0.0 && matches!(s.phase, None | Some(TaskPhase::Pulling)));
             pulling.map(|s| (s.fetch_s - (now - s.placed_at).as_secs()).max(0.2)).fold(0.0, f64::max)
         })
     }
@@ -277,8 +281,8 @@
     /// A stop for every task that has to go, as far as a stop does anything to it.
     pub fn stops(&self) -> Vec<Order> {
         let due = |((task, attempt), s): (&SlotKey, &Slot)| {
-            let leeway_s = s.stop.filter(|l| !s.exited() && (s.phase != Some(LotPhase::Flushing) || *l == 0.0))?;
-            Some(Order::Stop { lot: *task, attempt: *attempt, leeway_s })
+            let leeway_s = s.stop.filter(|l| !s.exited() && (s.phase != Some(TaskPhase::Flushing) || *l == 0.0))?;
+            Some(Order::Stop { task: *task, attempt: *attempt, leeway_s })
         };
         self.slots.iter().filter_map(due).collect()
     }
--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -1,6 +1,7 @@
 //! Jobs: what users may submit, how a job is kept in the state service, and its tasks.
 
 use crate::config::Team;
+use crate::core::fleet::AVOIDED_FOR;
 use crate::ids::{Attempt, JobId, MachineId, Revision, TaskId};
 use crate::time::{Mono, Span, Wall};
 use crate::wire::{Guard, JobPhase, JobSpec, Kind, MachineType, Priority};
@@ -13,9 +14,6 @@
 
 pub const MAX_TASKS: u32 = 100_000;
 
-/// How long a machine is avoided that has failed, or is much slower than others. Nothing may wait for
-/// 90 s while there is room that fits.
-pub const AVOIDED_FOR: Span = Span(60_000);
 /// Longer than the longest pause between two tries of a job that fails.
 const FAULT_LASTS: Span = Span(150_000);
 
--- a/src/core/leader/machines.rs
+++ b/src/core/leader/machines.rs
@@ -77,8 +77,8 @@
             // Messages of the ended session that come late mean nothing any more.
             if m.session.0 > 0 {
                 m.session.0 += 1;
-                m.tally.0 = 0;
-                m.reported = (m.session, m.tally);
+                m.sequence.0 = 0;
+                m.reported = (m.session, m.sequence);
             }
             m.outbox.clear();
             let spot = m.spot;
@@ -98,11 +98,11 @@
             self.p.lease.times(if excused { 3.0 } else { 0.55 })
         };
         // The same for machines that answers don't reach.
-        let deaf_after = self.p.lease;
-        let is_deaf = |m: &Machine| m.deaf_since.is_some_and(|t| now - t > deaf_after);
-        let deaf = self.machines.values().filter(|m| is_deaf(m)).count();
-        self.many_deaf = deaf > 2 && deaf * 3 > up;
-        let many_deaf = self.many_deaf;
+        let unacknowledged_after = self.p.lease;
+        let is_unacknowledged = |m: &Machine| m.unacknowledged_since.is_some_and(|t| now - t > unacknowledged_after);
+        let deaf = self.machines.values().filter(|m| is_unacknowledged(m)).count();
+        self.many_unacknowledged = deaf > 2 && deaf * 3 > up;
+        let many_unacknowledged = self.many_unacknowledged;
         let lease = self.p.lease;
         let mut returns: Vec<MachineId> = Vec::new();
         let mut idle: Vec<MachineId> = Vec::new();
@@ -123,7 +123,7 @@
                 } else if m.commission == Commission::Yes && silent > silent_after {
                     info!("machine {id} is silent for {:.1} s and goes back", silent.as_secs());
                     m.doomed = true;
-                } else if is_deaf(m) && !many_deaf {
+                } else if is_unacknowledged(m) && !many_unacknowledged {
                     info!("machine {id} doesn't confirm what it is told and goes back");
                     m.doomed = true;
                 } else if m.up && !busy && m.accounted && (m.notice || (m.errors >= 2 && m.sick_until > now)) {
@@ -272,13 +272,13 @@
         }
     }
 
-    pub fn on_rented(&mut self, now: Mono, hire: &str, result: RentResult) {
-        let Some(r) = self.rentals.requests.get_mut(hire) else { return };
+    pub fn on_rented(&mut self, now: Mono, name: &str, result: RentResult) {
+        let Some(r) = self.rentals.requests.get_mut(name) else { return };
         let market = r.market;
         match result {
             RentResult::Rented(names) => {
                 let asked = r.number as usize;
-                self.rentals.requests.remove(hire);
+                self.rentals.requests.remove(name);
                 info!("rented {} of {asked}: {}", names.len(), self.describe(market));
                 if names.len() < asked {
                     self.rentals.refused(market, now);
@@ -295,12 +295,12 @@
             }
             RentResult::NoCapacity => {
                 info!("no capacity: {}", self.describe(market));
-                self.rentals.requests.remove(hire);
+                self.rentals.requests.remove(name);
                 self.rentals.refused(market, now);
             }
             RentResult::Malformed => {
                 warn!("the cloud finds a request malformed: {}", self.describe(market));
-                self.rentals.requests.remove(hire);
+                self.rentals.requests.remove(name);
                 self.rentals.refused(market, now);
             }
             RentResult::Unknown => {
@@ -329,8 +329,8 @@
             if !self.rentals.has_room() || !self.rentals.open(market, now) {
                 continue;
             }
-            self.hires += 1;
-            let name = format!("w{}-{}", self.term, self.hires);
+            self.requests_made += 1;
+            let name = format!("w{}-{}", self.term, self.requests_made);
             let request = Request { market, number, in_flight: false, again_at: now };
             self.rentals.requests.insert(name, request);
         }
@@ -339,7 +339,7 @@
             if !r.in_flight && r.again_at <= now {
                 r.in_flight = true;
                 send.push(RentRequest {
-                    hire: name.clone(),
+                    name: name.clone(),
                     kind: self.types[r.market.kind].name.clone(),
                     zone: self.zones[r.market.zone as usize].clone(),
                     spot: r.market.spot,
--- a/src/core/leader/mod.rs
+++ b/src/core/leader/mod.rs
@@ -13,7 +13,9 @@
 
 use self::planner_view::PlannerView;
 use crate::config::{Settings, Team, Tuning};
-use crate::core::fleet::{Amount, Commission, FLEET, FleetRecord, Machine, Route, Sent, Slot, SlotKey, fleet_key};
+use crate::core::fleet::{
+    AVOIDED_FOR, Amount, Commission, FLEET, FleetRecord, Machine, Route, Sent, Slot, SlotKey, fleet_key,
+};
 use crate::core::jobs::{
     self, BITS, ClassTimes, GangRun, Job, LIVE, LiveRecord, OverRecord, chunk_tasks, decode_bits, encode_bits,
     live_key, over_key, priority_number,
@@ -22,15 +24,15 @@
 use crate::core::miser;
 use crate::core::rentals::{Market, Rentals, Request};
 use crate::core::shares::{SHARES_KEY, Shares};
-use crate::ids::{Attempt, FencingToken, JobId, MAX_FENCE, MachineId, Revision, Tally, TaskId, Term};
+use crate::ids::{Attempt, FencingToken, JobId, MAX_FENCE, MachineId, Revision, Sequence, TaskId, Term};
 use crate::peer::{
     ImageView, JobCount, JobView, MachineView, Offer, PlanInput, PlanOutput, TeamLeft, TypeView, VERSION, Wish,
     ZoneCount,
 };
 use crate::time::{Mono, Span, Wall};
 use crate::wire::{
-    Cause, Change, DirectOrders, Guard, JobPhase, JobSpec, Kind, ListPhase, ListedMachine, LotPhase, LotReport,
-    MachineType, Order, Priority, RentRequest, Report, ReportAnswer, Row, Txn,
+    Cause, Change, DirectOrders, Guard, JobPhase, JobSpec, Kind, ListPhase, ListedMachine, MachineType, Order,
+    Priority, RentRequest, Report, ReportAnswer, Row, TaskPhase, TaskReport, Txn,
 };
 use fixedbitset::FixedBitSet;
 use log::{debug, info, warn};
@@ -143,7 +145,7 @@
     /// Writes under way, each with its guard.
     commits: HashMap<u64, (Purpose, Revision)>,
     forget: BTreeSet<MachineId>,
-    stray_bits: Vec<String>,
+    orphaned_sets: Vec<String>,
     tokens: f64,
     tokens_at: Mono,
     bits_at: Mono,
@@ -151,7 +153,7 @@
     dirty: bool,
     round_at: Mono,
     rounds: u64,
-    hires: u64,
+    requests_made: u64,
     shares: Shares,
     shares_dirty: bool,
     team_names: Vec<String>,
@@ -169,10 +171,10 @@
     /// The jobs within their team's guarantee, as of the last round.
     within_guarantee: BTreeSet<JobId>,
     /// Some machine may not be accounted for yet.
-    dark: bool,
+    unaccounted: bool,
     /// So many machines don't confirm what they are told that it is rather this controller that
     /// is slow or cut off.
-    many_deaf: bool,
+    many_unacknowledged: bool,
     /// When the machines were last looked through.
     looked_at: Mono,
     /// The last tick, and how far the ticks fall behind: a measure of the processor's load.
@@ -196,7 +198,7 @@
 struct Usage {
     teams: Vec<Amount>,
     /// All of every machine whose tasks aren't known: it may hold any team's.
-    dark: Amount,
+    unaccounted: Amount,
 }
 
 /// The log-normal of spot machines' lives: starts at the settings' median and shifts with what is
@@ -309,14 +311,14 @@
             orders: HashMap::new(),
             commits: HashMap::new(),
             forget: BTreeSet::new(),
-            stray_bits: Vec::new(),
+            orphaned_sets: Vec::new(),
             tokens_at: now,
             bits_at: now,
             commit_pause: now,
             dirty: true,
             round_at: now,
             rounds: 0,
-            hires: 0,
+            requests_made: 0,
             shares,
             shares_dirty: true,
             team_names,
@@ -326,8 +328,8 @@
             reservations: Vec::new(),
             move_at: now,
             within_guarantee: BTreeSet::new(),
-            dark: false,
-            many_deaf: false,
+            unaccounted: false,
+            many_unacknowledged: false,
             looked_at: now,
             ticked_at: now,
             lag_ms: 0.0,
@@ -360,7 +362,7 @@
         let mut running: BTreeMap<&JobId, u32> = BTreeMap::new();
         for m in self.machines.values() {
             for ((task, _), s) in &m.slots {
-                if matches!(s.phase, Some(LotPhase::Running | LotPhase::Flushing)) {
+                if matches!(s.phase, Some(TaskPhase::Running | TaskPhase::Flushing)) {
                     *running.entry(&task.job).or_default() += 1;
                 }
             }
@@ -410,7 +412,7 @@
                         job.set_done(i as u32);
                     }
                 }
-                None => self.stray_bits.push(row.path),
+                None => self.orphaned_sets.push(row.path),
             }
         }
         for row in stored.fleet {
@@ -428,7 +430,7 @@
             m.commission = Commission::Yes;
             // It may hold anything until it reports under this leader's token.
             m.accounted = false;
-            self.dark = true;
+            self.unaccounted = true;
             self.machines.insert(id, m);
         }
         if let Some(kept) = stored.shares.and_then(|v| serde_json::from_value(v).ok()) {
@@ -502,7 +504,7 @@
             let from = (c * self.p.chunk) as usize;
             let to = job.durable.len().min(from + self.p.chunk as usize);
             if job.durable.ones().any(|i| (from..to).contains(&i)) {
-                self.stray_bits.push(format!("{BITS}{id}/{c}"));
+                self.orphaned_sets.push(format!("{BITS}{id}/{c}"));
             }
         }
         for (index, machine, attempt) in job.places() {
@@ -517,7 +519,7 @@
 /// The answer of a leader that is still reading its ledger: it can't tell which tasks are cancelled, so
 /// it renews no lease over any. An answer without a token is dropped, but keeps the worker here.
 pub fn answer_without_ledger(term: Term, report: &Report) -> ReportAnswer {
-    let empty = report.lots.iter().all(|l| l.phase == LotPhase::Exited);
+    let empty = report.tasks.iter().all(|l| l.phase == TaskPhase::Exited);
     let token = if empty { FencingToken::new(term, 0) } else { FencingToken::NONE };
     ReportAnswer { token, orders: Vec::new() }
 }
@@ -532,12 +534,12 @@
         return;
     }
     s.stop = Some(s.stop.map_or(leeway, |l| l.min(leeway)));
-    let run = Order::Run { lot: key.0, attempt: key.1 };
+    let run = Order::Run { task: key.0, attempt: key.1 };
     if let Some(at) = m.outbox.iter().position(|o| *o == run) {
         // Not sent yet: the order is turned into nothing, and the next report shows it absent.
         m.outbox.remove(at);
         s.sent = Some(Sent { token: FencingToken(0), answered: true });
         return;
     }
-    m.order(Order::Stop { lot: key.0, attempt: key.1, leeway_s: leeway });
+    m.order(Order::Stop { task: key.0, attempt: key.1, leeway_s: leeway });
 }
--- a/src/core/leader/planner_view.rs
+++ b/src/core/leader/planner_view.rs
@@ -69,7 +69,7 @@
     /// The fleet and the ready tasks as the planner sees them, with what its keys stand for.
     pub(super) fn planner_view(&mut self, now: Mono, wall: Wall) -> PlannerView {
         self.usage = None;
-        self.dark = self.dark && self.machines.values().any(|m| !m.accounted);
+        self.unaccounted = self.unaccounted && self.machines.values().any(|m| !m.accounted);
         let waits = |j: &Job| !j.ready.is_empty() && j.pause_until <= now && !j.finishing && !self.held_back(j);
         let waiting: BTreeSet<JobId> = self.jobs.iter().filter(|(_, j)| waits(j)).map(|(id, _)| *id).collect();
         self.lend(now, &waiting);
@@ -208,13 +208,13 @@
     fn teams_left(&mut self) -> Vec<TeamLeft> {
         self.count_usage();
         let Some(usage) = &self.usage else { return Vec::new() };
-        let left = |most: f64, used: f64, dark: f64| {
-            if most > 0.0 { (most - used - dark).max(0.0) } else { UNLIMITED }
+        let left = |most: f64, used: f64, unaccounted: f64| {
+            if most > 0.0 { (most - used - unaccounted).max(0.0) } else { UNLIMITED }
         };
         let team = |(i, (t, used)): (usize, (&Team, &Amount))| TeamLeft {
             team: i as u32,
-            cpus: left(t.cpus_max, used.cpus, usage.dark.cpus),
-            gpus: left(t.gpus_max, used.gpus, usage.dark.gpus),
+            cpus: left(t.cpus_max, used.cpus, usage.unaccounted.cpus),
+            gpus: left(t.gpus_max, used.gpus, usage.unaccounted.gpus),
         };
         self.settings.cluster.teams.iter().zip(&usage.teams).enumerate().map(team).collect()
     }
--- a/src/core/leader/rounds.rs
+++ b/src/core/leader/rounds.rs
@@ -168,7 +168,7 @@
                 && s.zone.as_ref().is_none_or(|z| *z == self.zones[m.zone as usize])
                 && (s.spot || !m.spot)
         };
-        self.dark && j.revision.0 <= self.term.0 && self.machines.values().any(could_hold)
+        self.unaccounted && j.revision.0 <= self.term.0 && self.machines.values().any(could_hold)
     }
 
     /// The leader's own check of one start, whoever planned it.
@@ -198,8 +198,10 @@
     /// Counts everything possibly on a machine, and all of a machine that isn't accounted for.
     pub(super) fn count_usage(&mut self) -> &Usage {
         self.usage.get_or_insert_with(|| {
-            let mut u =
-                Usage { teams: vec![Amount::default(); self.settings.cluster.teams.len()], dark: Amount::default() };
+            let mut u = Usage {
+                teams: vec![Amount::default(); self.settings.cluster.teams.len()],
+                unaccounted: Amount::default(),
+            };
             for m in self.machines.values() {
                 for s in m.slots.values().filter(|s| !s.exited()) {
                     if let Some(t) = s.team.and_then(|t| u.teams.get_mut(t as usize)) {
@@ -207,7 +209,7 @@
                     }
                 }
                 if !m.accounted || m.has_unknown() {
-                    u.dark.add(&Amount::of_type(&self.types[m.kind]));
+                    u.unaccounted.add(&Amount::of_type(&self.types[m.kind]));
                 }
             }
             u
@@ -222,7 +224,7 @@
         }
         let u = self.count_usage();
         let mut used = u.teams[team as usize];
-        used.add(&u.dark);
+        used.add(&u.unaccounted);
         let fits = |most: f64, used: f64, need: f64| most <= 0.0 || used + need * n <= most + 1e-9;
         fits(cpus_max, used.cpus, need.cpus) && fits(gpus_max, used.gpus, need.gpus)
     }
@@ -255,7 +257,7 @@
             let key = (TaskId { job: *job, index }, attempt);
             if let Some(m) = self.machines.get_mut(&machine) {
                 m.slots.remove(&key);
-                let run = Order::Run { lot: key.0, attempt };
+                let run = Order::Run { task: key.0, attempt };
                 m.outbox.retain(|o| *o != run);
             }
             j.requeue(index, false);
@@ -294,7 +296,7 @@
             u.teams[j.team as usize].add(&slot.need);
         }
         debug!("start {task} try {attempt} on {machine}");
-        m.order(Order::Run { lot: task, attempt });
+        m.order(Order::Run { task, attempt });
         m.slots.insert((task, attempt), slot);
         m.idle_since = None;
     }
--- a/src/core/leader/tests.rs
+++ b/src/core/leader/tests.rs
@@ -3,7 +3,7 @@
 use super::planner_view::deal;
 use super::*;
 use crate::config::sample_settings;
-use crate::ids::{LeaseId, Session, Tally};
+use crate::ids::{LeaseId, Sequence, Session};
 use crate::wire::JobSpec;
 use serde_json::json;
 
@@ -109,10 +109,10 @@
             zone: "a".into(),
             spot: false,
             session: Session(1),
-            tally: Tally(0),
+            sequence: Sequence(0),
             token: FencingToken(0),
             notice_s: None,
-            lots: Vec::new(),
+            tasks: Vec::new(),
         }
     }
 
@@ -158,28 +158,28 @@
     fn execute(r: &mut Report, orders: &[Order]) {
         for o in orders {
             match o {
-                Order::Run { lot, attempt } => r.lots.push(LotReport {
-                    lot: Some(*lot),
+                Order::Run { task, attempt } => r.tasks.push(TaskReport {
+                    task: Some(*task),
                     attempt: *attempt,
-                    phase: LotPhase::Running,
+                    phase: TaskPhase::Running,
                     cause: None,
                     kept: None,
                 }),
-                Order::Stop { lot, attempt, .. } => Rig::end(r, Some(*lot), *attempt, Cause::Halted),
-                Order::Clear { lot, attempt } => r.lots.retain(|l| l.lot != Some(*lot) || l.attempt != *attempt),
+                Order::Stop { task, attempt, .. } => Rig::end(r, Some(*task), *attempt, Cause::Halted),
+                Order::Clear { task, attempt } => r.tasks.retain(|l| l.task != Some(*task) || l.attempt != *attempt),
             }
         }
     }
 
-    fn end(r: &mut Report, lot: Option<TaskId>, attempt: Attempt, cause: Cause) {
-        for l in r.lots.iter_mut().filter(|l| l.lot == lot && l.attempt == attempt) {
-            (l.phase, l.cause) = (LotPhase::Exited, Some(cause));
+    fn end(r: &mut Report, task: Option<TaskId>, attempt: Attempt, cause: Cause) {
+        for l in r.tasks.iter_mut().filter(|l| l.task == task && l.attempt == attempt) {
+            (l.phase, l.cause) = (TaskPhase::Exited, Some(cause));
         }
     }
 
     fn report(&mut self, name: &str) -> bool {
         let Some(r) = self.workers.get_mut(name) else { return false };
-        r.tally.0 += 1;
+        r.sequence.0 += 1;
         let answer = self.leader.on_report(Mono(self.now), r);
         if let Some(a) = answer.as_ref().filter(|a| a.token >= r.token && !self.deaf.contains(name)) {
             r.token = a.token;
@@ -206,7 +206,7 @@
                     Action::Orders { ticket, endpoint, body } => {
                         let result = match self.workers.get_mut(&endpoint) {
                             Some(r) if !self.deaf.contains(&endpoint) => {
-                                r.tally.0 += 1;
+                                r.sequence.0 += 1;
                                 if body.token < r.token || body.session != r.session {
                                     OrdersResult::Rejected(r.clone())
                                 } else {
@@ -233,7 +233,7 @@
                         let next = self.unanswered.is_none().then(|| Revision(self.leader.guard().0 + 1_000));
                         self.leader.on_reguarded(now, next);
                     }
-                    Action::Rent(r) => self.leader.on_rented(now, &r.hire, RentResult::NoCapacity),
+                    Action::Rent(r) => self.leader.on_rented(now, &r.name, RentResult::NoCapacity),
                     Action::Return(ids) => {
                         self.returned.extend(ids.iter().map(|i| i.to_string()));
                         self.leader.on_returned(now, &ids, !self.cloud_down);
@@ -245,8 +245,8 @@
     }
 
     fn runs(&self, id: &JobId) -> usize {
-        let of = |l: &&LotReport| l.phase == LotPhase::Running && l.lot.is_some_and(|t| t.job == *id);
-        self.workers.values().flat_map(|r| &r.lots).filter(of).count()
+        let of = |l: &&TaskReport| l.phase == TaskPhase::Running && l.task.is_some_and(|t| t.job == *id);
+        self.workers.values().flat_map(|r| &r.tasks).filter(of).count()
     }
 }
 
@@ -264,7 +264,7 @@
     rig.run(12_000);
     assert_eq!(rig.runs(&old), 2, "its lease has proven it empty");
     assert!(rig.returned.contains("m-000000"), "and it goes back");
-    assert!(rig.workers["w0"].lots.is_empty(), "it got nothing more");
+    assert!(rig.workers["w0"].tasks.is_empty(), "it got nothing more");
 }
 
 #[test]
@@ -277,8 +277,8 @@
     rig.deaf.insert("w0".into());
     // Its lease has run out, as the answers didn't reach it.
     let w = rig.workers.get_mut("w0").unwrap();
-    (w.session, w.tally) = (Session(2), Tally(0));
-    w.lots.clear();
+    (w.session, w.sequence) = (Session(2), Sequence(0));
+    w.tasks.clear();
     rig.report("w0");
     assert_eq!(rig.leader.jobs[&id].ready.len(), 1, "to be started anew");
 }
@@ -309,7 +309,7 @@
     let by_peer: BTreeSet<String> = ["w0", "w1", "w2", "w3"].map(String::from).into();
     for name in &by_peer {
         let report = rig.workers.get_mut(name).unwrap();
-        report.tally.0 += 1;
+        report.sequence.0 += 1;
         assert!(rig.leader.on_report_by(Mono(rig.now), report, Route::by_peer(0)).is_some());
     }
     rig.mute = by_peer.clone();
@@ -336,12 +336,12 @@
     rig.run(2_500);
     for name in ["w0", "w1"] {
         let worker = rig.workers.get_mut(name).unwrap();
-        (worker.session, worker.tally, worker.token) = (Session(2), Tally(0), FencingToken::NONE);
+        (worker.session, worker.sequence, worker.token) = (Session(2), Sequence(0), FencingToken::NONE);
     }
     let id = rig.submit(200, spec("req-000001", Kind::Array, 1, 8.0));
     rig.run(1_000);
     assert_eq!(rig.runs(&id), 1, "ordered in the session that the first answer has told of");
-    let holds = rig.workers.iter().find(|(_, r)| !r.lots.is_empty()).map(|(name, _)| name.clone()).unwrap();
+    let holds = rig.workers.iter().find(|(_, r)| !r.tasks.is_empty()).map(|(name, _)| name.clone()).unwrap();
     rig.mute.retain(|name| *name == holds);
     rig.run(8_500);
     assert_eq!(rig.runs(&id), 1, "the session may go on");
@@ -365,9 +365,9 @@
     assert_eq!(job(&rig), 2, "the lease may still run");
     rig.run(1_500);
     assert_eq!(job(&rig), 1, "silent past its lease, whatever copies came");
-    // After the ledger has ended the session, a copy with a later tally revives nothing either.
+    // After the ledger has ended the session, a copy with a later sequence revives nothing either.
     let mut later = copy;
-    later.tally.0 += 100;
+    later.sequence.0 += 100;
     assert_eq!(rig.leader.on_report(Mono(rig.now), &later), None);
     assert_eq!(job(&rig), 1);
 }
@@ -378,16 +378,16 @@
     let old = rig.submit(50, spec("req-000001", Kind::Array, 2, 1.0));
     // Of a machine that an earlier leader has returned: it has no record any more.
     let mut ghost = Rig::fresh(7);
-    ghost.tally = Tally(9);
+    ghost.sequence = Sequence(9);
     let attempt = Attempt::new(Term(40), 1);
-    let lot =
-        LotReport { lot: TaskId::parse("req-000001/0"), attempt, phase: LotPhase::Running, cause: None, kept: None };
-    ghost.lots.push(lot);
+    let listed =
+        TaskReport { task: TaskId::parse("req-000001/0"), attempt, phase: TaskPhase::Running, cause: None, kept: None };
+    ghost.tasks.push(listed);
     assert_eq!(rig.leader.on_report(Mono(10), &ghost), None);
     assert!(rig.leader.jobs[&old].placed.is_empty());
     // A copy that reaches a new leader before the machine itself tells nothing of now.
     let mut copy = Rig::fresh(0);
-    (copy.tally, copy.token) = (Tally(3), FencingToken::new(Term(40), 0));
+    (copy.sequence, copy.token) = (Sequence(3), FencingToken::new(Term(40), 0));
     rig.workers.remove("w0");
     rig.leader.on_report(Mono(20), &copy);
     rig.run(5_000);
@@ -395,7 +395,7 @@
     // An empty report of a ghost: nothing is ordered there until it has confirmed the token.
     rig.leader.on_report(Mono(rig.now), &Rig::fresh(8));
     ghost = Rig::fresh(8);
-    ghost.tally = Tally(1);
+    ghost.sequence = Sequence(1);
     rig.leader.on_report(Mono(rig.now), &ghost);
     let id = MachineId::parse("m-000008").unwrap();
     rig.run(1_000);
@@ -416,9 +416,9 @@
     for n in 0..60 {
         // Every 2 s another small gang comes, and the one that has run longest ends.
         rig.submit(200, whole(200 + n, 1));
-        let oldest = rig.workers.values().flat_map(|r| &r.lots).filter(|l| l.phase == LotPhase::Running);
-        if let Some((lot, attempt)) = oldest.min_by_key(|l| l.attempt).map(|l| (l.lot, l.attempt)) {
-            rig.workers.values_mut().for_each(|r| Rig::end(r, lot, attempt, Cause::Done));
+        let oldest = rig.workers.values().flat_map(|r| &r.tasks).filter(|l| l.phase == TaskPhase::Running);
+        if let Some((listed, attempt)) = oldest.min_by_key(|l| l.attempt).map(|l| (l.task, l.attempt)) {
+            rig.workers.values_mut().for_each(|r| Rig::end(r, listed, attempt, Cause::Done));
         }
         rig.run(2_000);
         if rig.runs(&large) == 6 {
@@ -571,14 +571,14 @@
     // Lost with its answer, the stop is said again in the next.
     let stops = |a: &ReportAnswer| a.orders.iter().filter(|o| matches!(o, Order::Stop { .. })).count();
     let r = rig.workers.get_mut("w0").unwrap();
-    for l in &mut r.lots {
-        (l.phase, l.cause) = (LotPhase::Running, None);
+    for l in &mut r.tasks {
+        (l.phase, l.cause) = (TaskPhase::Running, None);
     }
-    r.tally.0 += 1;
+    r.sequence.0 += 1;
     assert_eq!(rig.leader.on_report(Mono(rig.now), r).as_ref().map(stops), Some(2));
     // Also in the answer to a report that other news has overtaken.
-    r.tally.0 += 5;
-    rig.leader.machines.values_mut().for_each(|m| m.tally = Tally(r.tally.0 + 1));
+    r.sequence.0 += 5;
+    rig.leader.machines.values_mut().for_each(|m| m.sequence = Sequence(r.sequence.0 + 1));
     assert_eq!(rig.leader.on_report(Mono(rig.now), r).as_ref().map(stops), Some(2));
 }
 
@@ -590,19 +590,19 @@
     let id = rig.submit(200, spec("req-000001", Kind::Array, 2, 1.0));
     rig.run(1_000);
     let r = rig.workers.get_mut("w0").unwrap();
-    let lot = r.lots[0].clone();
-    Rig::end(r, lot.lot, lot.attempt, Cause::Done);
+    let listed = r.tasks[0].clone();
+    Rig::end(r, listed.task, listed.attempt, Cause::Done);
     rig.run(4_000);
     let lost = rig.unanswered.take().unwrap();
     assert_eq!(lost.len(), 1, "nothing more is written while an older write may come late");
     let is_bits = |t: &Txn| matches!(&t.apply[0], Change::Write { write, .. } if write.starts_with(BITS));
     assert!(is_bits(&lost[0]));
-    assert!(rig.workers["w0"].lots.iter().any(LotReport::is_done), "kept until it is durable");
+    assert!(rig.workers["w0"].tasks.iter().any(TaskReport::is_done), "kept until it is durable");
     rig.committed.clear();
     rig.run(3_000);
     assert!(rig.committed.iter().any(is_bits));
     assert!(rig.committed.iter().all(|t| t.guards[0].revision > lost[0].guards[0].revision), "the older one is dead");
-    assert!(!rig.workers["w0"].lots.iter().any(LotReport::is_done));
+    assert!(!rig.workers["w0"].tasks.iter().any(TaskReport::is_done));
     assert_eq!(rig.runs(&id), 1);
 }
 
@@ -628,7 +628,7 @@
     let full = rig.submit(200, team_a(spec("req-000001", Kind::Array, 4, 8.0)));
     rig.run(3_000);
     assert_eq!(rig.runs(&full), 4);
-    let held = rig.workers.iter().find(|(_, r)| !r.lots.is_empty()).map(|(n, _)| n.clone()).unwrap();
+    let held = rig.workers.iter().find(|(_, r)| !r.tasks.is_empty()).map(|(n, _)| n.clone()).unwrap();
     rig.mute.insert(held.clone());
     rig.succeed();
     // Cancelled in that spell: what it held on the silent machine counts on.
@@ -640,7 +640,7 @@
     assert_eq!(rig.runs(&full), 1, "those that can be asked have stopped");
     assert!(rig.runs(&next) <= 4, "{} run beside one that may", rig.runs(&next));
     // Past its lease the silent machine is proven empty.
-    rig.workers.get_mut(&held).unwrap().lots.clear();
+    rig.workers.get_mut(&held).unwrap().tasks.clear();
     rig.run(12_000);
     assert_eq!(rig.runs(&next), 5);
 }
@@ -654,14 +654,14 @@
     let sent: BTreeMap<String, Report> = rig.workers.clone();
     rig.run(3_000);
     assert_eq!(rig.runs(&id), 2);
-    let name = rig.workers.iter().find(|(_, r)| !r.lots.is_empty()).map(|(n, _)| n.clone()).unwrap();
+    let name = rig.workers.iter().find(|(_, r)| !r.tasks.is_empty()).map(|(n, _)| n.clone()).unwrap();
     let held = sent[&name].clone();
     rig.mute.insert(name.clone());
     rig.succeed();
     rig.run(1_000);
     // It arrives at the new leader before any other of its machine: an empty list, which isn't true.
     let mut late = held.clone();
-    late.tally.0 += 1;
+    late.sequence.0 += 1;
     rig.leader.on_report(Mono(rig.now), &late);
     rig.run(3_000);
     assert_eq!(rig.runs(&id), 2, "nothing is started twice");
@@ -671,7 +671,7 @@
     rig.mute.clear();
     rig.run(2_000);
     assert!(rig.leader.on_report(Mono(rig.now), &late).is_none());
-    let old = Report { session: Session(0), tally: Tally(900), ..held };
+    let old = Report { session: Session(0), sequence: Sequence(900), ..held };
     assert!(rig.leader.on_report(Mono(rig.now), &old).is_none(), "of an earlier session");
     rig.run(1_000);
     assert_eq!(rig.runs(&id), 2);
@@ -691,12 +691,12 @@
     let id = rig.submit(term + 1, array);
     rig.run(4_000);
     let zones = |rig: &Rig| -> BTreeSet<String> {
-        let runs = |r: &&Report| r.lots.iter().any(|l| l.phase == LotPhase::Running);
+        let runs = |r: &&Report| r.tasks.iter().any(|l| l.phase == TaskPhase::Running);
         rig.workers.values().filter(runs).map(|r| r.zone.clone()).collect()
     };
     assert_eq!(zones(&rig).len(), 1);
     // Its machines fall silent, all but one: what may still run there binds the rest.
-    let lost: Vec<String> = rig.workers.iter().filter(|(_, r)| !r.lots.is_empty()).map(|(n, _)| n.clone()).collect();
+    let lost: Vec<String> = rig.workers.iter().filter(|(_, r)| !r.tasks.is_empty()).map(|(n, _)| n.clone()).collect();
     rig.mute.extend(lost.iter().skip(1).cloned());
     rig.run(4_000);
     assert_eq!(zones(&rig).len(), 1);
@@ -716,16 +716,16 @@
     rig.run(3_000);
     let end = |rig: &mut Rig, name: &str| {
         let r = rig.workers.get_mut(name).unwrap();
-        let lot = r.lots[0].clone();
-        Rig::end(r, lot.lot, lot.attempt, Cause::Done);
+        let listed = r.tasks[0].clone();
+        Rig::end(r, listed.task, listed.attempt, Cause::Done);
     };
     end(&mut rig, "w0");
     rig.run(4_000);
-    assert!(rig.workers["w0"].lots.is_empty(), "cleared, as it is durably done");
+    assert!(rig.workers["w0"].tasks.is_empty(), "cleared, as it is durably done");
     rig.succeed();
     rig.run(4_000);
     let over = format!("over/{id}");
-    assert!(rig.runs(&id) == 1 && rig.workers["w0"].lots.is_empty(), "not started again");
+    assert!(rig.runs(&id) == 1 && rig.workers["w0"].tasks.is_empty(), "not started again");
     assert!(!rig.store.contains_key(&over));
     end(&mut rig, "w1");
     rig.run(1_000);
@@ -742,17 +742,17 @@
     let id = rig.submit(200, spec("req-000001", Kind::Array, 2, 8.0));
     rig.run(3_000);
     rig.cloud_down = true;
-    let mute = rig.workers.iter().find(|(_, r)| !r.lots.is_empty()).map(|(n, _)| n.clone()).unwrap();
+    let mute = rig.workers.iter().find(|(_, r)| !r.tasks.is_empty()).map(|(n, _)| n.clone()).unwrap();
     rig.mute.insert(mute.clone());
     rig.run(9_000);
     assert_eq!(rig.runs(&id), 2, "it may run on, so nothing is started anew");
     // Its session ends; direct orders still arrive, but they are of a session that is over.
     let r = rig.workers.get_mut(&mute).unwrap();
-    (r.session, r.tally) = (Session(2), Tally(0));
-    r.lots.clear();
+    (r.session, r.sequence) = (Session(2), Sequence(0));
+    r.tasks.clear();
     rig.run(4_000);
     assert_eq!(rig.runs(&id), 2, "started on the machine that is left");
-    assert!(rig.workers[&mute].lots.is_empty());
+    assert!(rig.workers[&mute].tasks.is_empty());
 }
 
 #[test]
@@ -763,8 +763,8 @@
     rig.run(2_000);
     rig.unanswered = Some(Vec::new());
     let r = rig.workers.get_mut("w0").unwrap();
-    let lot = r.lots[0].clone();
-    Rig::end(r, lot.lot, lot.attempt, Cause::Done);
+    let listed = r.tasks[0].clone();
+    Rig::end(r, listed.task, listed.attempt, Cause::Done);
     rig.run(1_000);
     // The job's own key guards the end, so that it can't be declared over a cancellation, however late.
     let end = &rig.unanswered.as_ref().unwrap()[0];
@@ -774,7 +774,7 @@
     rig.leader.on_over(&id);
     rig.unanswered = None;
     rig.run(3_000);
-    assert!(rig.workers["w0"].lots.is_empty(), "nothing is kept of it");
+    assert!(rig.workers["w0"].tasks.is_empty(), "nothing is kept of it");
     assert!(!rig.store.contains_key(&format!("over/{id}")));
 }
 
@@ -788,10 +788,10 @@
     rig.run(2_000);
     assert_eq!(rig.runs(&id), 4);
     for r in rig.workers.values_mut() {
-        let first = r.lots[0].clone();
-        Rig::end(r, first.lot, first.attempt, Cause::Done);
-        for l in r.lots.iter_mut().skip(1) {
-            (l.phase, l.cause) = (LotPhase::Exited, Some(Cause::Error));
+        let first = r.tasks[0].clone();
+        Rig::end(r, first.task, first.attempt, Cause::Done);
+        for l in r.tasks.iter_mut().skip(1) {
+            (l.phase, l.cause) = (TaskPhase::Exited, Some(Cause::Error));
         }
     }
     rig.run(5_000);
--- a/src/core/leader/workers.rs
+++ b/src/core/leader/workers.rs
@@ -15,10 +15,10 @@
             return None;
         }
         if !self.machines.contains_key(&id) {
-            if !r.lots.is_empty() {
+            if !r.tasks.is_empty() {
                 // Machines are recorded before their first order and until their return is proven,
                 // so what lists tasks without a record is a late copy of one that is gone.
-                debug!("machine {id} has no record and lists tasks={}", r.lots.len());
+                debug!("machine {id} has no record and lists tasks={}", r.tasks.len());
                 return None;
             }
             let Some((kind, zone)) = self.place_of(&r.kind, &r.zone) else {
@@ -29,14 +29,14 @@
             self.machines.insert(id.clone(), Machine::new(r.endpoint.clone(), kind, zone, r.spot, now));
         }
         let quiet = self.quiet();
-        let deaf_after = self.p.lease;
+        let unacknowledged_after = self.p.lease;
         let m = self.machines.get_mut(&id)?;
-        if r.session < m.session || (r.session, r.tally) <= m.reported {
+        if r.session < m.session || (r.session, r.sequence) <= m.reported {
             // Of a session that has ended, or a copy: nobody waits for an answer to it, and it is
             // no sign of life.
             return None;
         }
-        m.reported = (r.session, r.tally);
+        m.reported = (r.session, r.sequence);
         m.ended = false;
         if now - m.last_report > quiet {
             m.slots.values_mut().for_each(|s| s.timed = false);
@@ -44,8 +44,8 @@
         let newer = self.take_report(now, &id, r);
         let m = self.machines.get_mut(&id)?;
         if r.token >= FencingToken::new(self.term, m.fence) {
-            m.deaf_since = None;
-        } else if now - *m.deaf_since.get_or_insert(now) > deaf_after && !self.many_deaf {
+            m.unacknowledged_since = None;
+        } else if now - *m.unacknowledged_since.get_or_insert(now) > unacknowledged_after && !self.many_unacknowledged {
             // Answers don't reach it. Without them its lease runs out, which proves it empty.
             return None;
         }
@@ -115,7 +115,7 @@
     /// Takes in what a worker lists. False: something newer was known.
     pub(super) fn take_report(&mut self, now: Mono, id: &MachineId, r: &Report) -> bool {
         let Some(m) = self.machines.get_mut(id) else { return false };
-        if (r.session, r.tally) <= (m.session, m.tally) {
+        if (r.session, r.sequence) <= (m.session, m.sequence) {
             return false;
         }
         m.endpoint.clone_from(&r.endpoint);
@@ -136,11 +136,11 @@
         }
         let own = FencingToken::new(self.term, 0);
         let Some(m) = self.machines.get_mut(id) else { return false };
-        if r.session > m.session || m.tally == Tally(0) {
+        if r.session > m.session || m.sequence == Sequence(0) {
             m.session_heard_at = now;
         }
         m.session = r.session;
-        m.tally = r.tally;
+        m.sequence = r.sequence;
         let fence = FencingToken::new(self.term, m.fence);
         if m.fencing && r.token >= fence {
             m.fencing = false;
@@ -158,26 +158,26 @@
         }
         let Some(m) = self.machines.get_mut(id) else { return false };
         m.listing += 1;
-        let mut news: Vec<(SlotKey, &LotReport)> = Vec::new();
-        for lot in &r.lots {
-            let Some(task) = lot.lot else {
+        let mut news: Vec<(SlotKey, &TaskReport)> = Vec::new();
+        for listed in &r.tasks {
+            let Some(task) = listed.task else {
                 warn!("machine {id} lists a task of an unknown form");
                 continue;
             };
-            let key = (task, lot.attempt);
+            let key = (task, listed.attempt);
             // Most of what workers list, they have listed before.
             let job = self.jobs.get(&task.job);
             match m.slots.get_mut(&key) {
-                Some(s) if s.as_before(lot.phase) && job.is_some_and(|j| j.goes_on(&key)) => s.listed = m.listing,
+                Some(s) if s.as_before(listed.phase) && job.is_some_and(|j| j.goes_on(&key)) => s.listed = m.listing,
                 // Done, and kept by the worker until that is durable.
-                Some(s) if s.exited() && lot.is_done() && job.is_some_and(|j| !j.is_durable(task.index)) => {
+                Some(s) if s.exited() && listed.is_done() && job.is_some_and(|j| !j.is_durable(task.index)) => {
                     s.listed = m.listing;
                 }
-                _ => news.push((key, lot)),
+                _ => news.push((key, listed)),
             }
         }
-        for (key, lot) in news {
-            self.take_lot(now, id, &key, lot);
+        for (key, listed) in news {
+            self.take_listed(now, id, &key, listed);
         }
         let Some(m) = self.machines.get_mut(id) else { return false };
         if r.token >= own && !(m.accounted && m.confirmed) {
@@ -212,29 +212,29 @@
     }
 
     /// One task that a worker lists.
-    pub(super) fn take_lot(&mut self, now: Mono, id: &MachineId, key: &SlotKey, lot: &LotReport) {
+    pub(super) fn take_listed(&mut self, now: Mono, id: &MachineId, key: &SlotKey, listed: &TaskReport) {
         let (task, attempt) = key;
         let known = self.machines.get(id).is_some_and(|m| m.slots.contains_key(key));
         if !known {
-            self.adopt(now, id, key, lot);
+            self.adopt(now, id, key, listed);
         }
         let over = !self.jobs.contains_key(&task.job);
         let Some(m) = self.machines.get_mut(id) else { return };
         let Some(s) = m.slots.get_mut(key) else { return };
         let before = s.phase;
         s.listed = m.listing;
-        s.phase = Some(lot.phase);
+        s.phase = Some(listed.phase);
         s.sent = None;
-        if lot.phase == LotPhase::Running && before != Some(LotPhase::Running) {
+        if listed.phase == TaskPhase::Running && before != Some(TaskPhase::Running) {
             s.running_since.get_or_insert(now);
-            self.dirty |= before == Some(LotPhase::Pulling);
+            self.dirty |= before == Some(TaskPhase::Pulling);
         }
-        if lot.phase != LotPhase::Exited {
+        if listed.phase != TaskPhase::Exited {
             if over {
                 stop_slot(m, key, 0.0);
             } else if let Some(leeway) = s.stop {
                 // Told before; said again until it works.
-                if lot.phase != LotPhase::Flushing || leeway == 0.0 {
+                if listed.phase != TaskPhase::Flushing || leeway == 0.0 {
                     stop_slot(m, key, leeway);
                 }
             } else if self.jobs.get(&task.job).is_some_and(|j| !j.goes_on(key)) {
@@ -242,24 +242,24 @@
             }
             return;
         }
-        if before != Some(LotPhase::Exited) {
+        if before != Some(TaskPhase::Exited) {
             self.dirty = true;
             let ran = s.running_since.filter(|_| s.timed).map(|t| (now - t).as_secs());
             let stopped = s.stop.is_some();
-            self.exited(now, id, key, lot, ran, stopped);
+            self.exited(now, id, key, listed, ran, stopped);
         }
         // The worker may forget it once a done task is durably so; other ends need no keeping.
         let durable = match self.jobs.get(&task.job) {
-            Some(j) if lot.is_done() => j.is_durable(task.index),
+            Some(j) if listed.is_done() => j.is_durable(task.index),
             _ => true,
         };
         if durable && let Some(m) = self.machines.get_mut(id) {
-            m.order(Order::Clear { lot: *task, attempt: *attempt });
+            m.order(Order::Clear { task: *task, attempt: *attempt });
         }
     }
 
     /// Enters a listed task that the ledger doesn't have.
-    pub(super) fn adopt(&mut self, now: Mono, id: &MachineId, key: &SlotKey, lot: &LotReport) {
+    pub(super) fn adopt(&mut self, now: Mono, id: &MachineId, key: &SlotKey, listed: &TaskReport) {
         let (task, attempt) = key;
         self.usage = None;
         let Some(m) = self.machines.get_mut(id) else { return };
@@ -280,7 +280,7 @@
         };
         if let Some(job) = self.jobs.get_mut(&task.job).filter(|j| task.index < j.spec.tasks) {
             if let Some(places) = job.placed.get(&task.index)
-                && lot.phase != LotPhase::Exited
+                && listed.phase != TaskPhase::Exited
             {
                 // One of the two reports is late, and which one isn't known: both count until one
                 // is proven gone.
@@ -294,7 +294,7 @@
             let next = self.images.len() as u32;
             slot.image = *self.images.entry(s.image.clone()).or_insert(next);
             m.touch_image(slot.image, s.image_gb, self.types[m.kind].cache_gb);
-            if lot.phase != LotPhase::Exited {
+            if listed.phase != TaskPhase::Exited {
                 let gang = s.kind == Kind::Gang;
                 job.place(task.index, id, *attempt);
                 if gang {
@@ -315,12 +315,12 @@
         now: Mono,
         id: &MachineId,
         key: &SlotKey,
-        lot: &LotReport,
+        listed: &TaskReport,
         ran: Option<f64>,
         stopped: bool,
     ) {
         let (task, attempt) = key;
-        let cause = lot.cause.unwrap_or(Cause::Other);
+        let cause = listed.cause.unwrap_or(Cause::Other);
         let reclaimed = self.machines.get(id).is_some_and(|m| m.notice);
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         job.unplace(task.index, id, *attempt);
@@ -350,7 +350,7 @@
                 {
                     // Like one that fails: avoided, and returned once it is empty.
                     info!("machine {id} is slow and is avoided, slowness={:.1}", m.slowness);
-                    m.sick_until = now + jobs::AVOIDED_FOR;
+                    m.sick_until = now + AVOIDED_FOR;
                     m.errors = 2;
                 } else if let Some(m) = self.machines.get_mut(id)
                     && m.sick_until <= now
@@ -371,7 +371,7 @@
                 if !fault && let Some(m) = self.machines.get_mut(id) {
                     m.errors += 1;
                     if m.errors >= 2 && m.sick_until <= now {
-                        m.sick_until = now + jobs::AVOIDED_FOR;
+                        m.sick_until = now + AVOIDED_FOR;
                         info!("machine {id} fails tasks and is avoided, errors={}", m.errors);
                     } else if m.sick_until <= now {
                         m.sick_until = now + Span(10_000);
@@ -397,7 +397,7 @@
     pub(super) fn vanish(&mut self, id: &MachineId, key: &SlotKey, reclaimed: bool) {
         let Some(m) = self.machines.get_mut(id) else { return };
         let Some(slot) = m.slots.remove(key) else { return };
-        let run = Order::Run { lot: key.0, attempt: key.1 };
+        let run = Order::Run { task: key.0, attempt: key.1 };
         m.outbox.retain(|o| *o != run);
         self.dirty = true;
         if slot.exited() {
@@ -484,7 +484,7 @@
         if m.doomed {
             // It gets no work any more, but what is on it is still told to go: its return may take long.
             let unsent = |o: &Order| match o {
-                Order::Run { lot, attempt } => Some((*lot, *attempt)),
+                Order::Run { task, attempt } => Some((*task, *attempt)),
                 _ => None,
             };
             let unsent: Vec<SlotKey> = m.outbox.iter().filter_map(unsent).collect();
@@ -506,8 +506,8 @@
         let token = FencingToken::new(self.term, m.fence);
         let mut runs = Vec::new();
         for o in &orders {
-            if let Order::Run { lot, attempt } = o {
-                let key = (*lot, *attempt);
+            if let Order::Run { task, attempt } = o {
+                let key = (*task, *attempt);
                 if let Some(s) = m.slots.get_mut(&key) {
                     s.sent = Some(Sent { token, answered: false });
                 }
--- a/src/core/leader/writes.rs
+++ b/src/core/leader/writes.rs
@@ -116,9 +116,9 @@
             let value = serde_json::json!(self.shares.kept(&self.team_names));
             let txn = Txn { guards: vec![self.own_guard()], apply: vec![Change::write(SHARES_KEY, value)] };
             self.commit(Purpose::Shares, txn);
-        } else if !self.stray_bits.is_empty() && self.tokens >= self.p.write_rps * 0.7 && self.commits.is_empty() {
-            let n = self.stray_bits.len().min(self.p.txn_ops).min(4);
-            let keys: Vec<String> = self.stray_bits.drain(..n).collect();
+        } else if !self.orphaned_sets.is_empty() && self.tokens >= self.p.write_rps * 0.7 && self.commits.is_empty() {
+            let n = self.orphaned_sets.len().min(self.p.txn_ops).min(4);
+            let keys: Vec<String> = self.orphaned_sets.drain(..n).collect();
             let apply = keys.iter().map(Change::drop).collect();
             let txn = Txn { guards: vec![self.own_guard()], apply };
             self.commit(Purpose::Tidy(keys), txn);
@@ -192,7 +192,7 @@
                 }
             },
             Purpose::Shares => self.shares_dirty |= !ok,
-            Purpose::Tidy(keys) if !ok => self.stray_bits.extend(keys),
+            Purpose::Tidy(keys) if !ok => self.orphaned_sets.extend(keys),
             Purpose::Tidy(_) => {}
         }
     }
--- a/src/core/leadership.rs
+++ b/src/core/leadership.rs
@@ -17,18 +17,18 @@
 
 pub const LEADER_KEY: &str = "ctl/leader";
 /// Written with the first leader's key and never removed: someone has been in office.
-pub const FOUNDED_KEY: &str = "ctl/founded";
+pub const INITIALIZED_KEY: &str = "ctl/founded";
 
 /// Who is to lead next, written by a leader that hands over. It hangs on a short lease: others hold
 /// back for as long, also those that the leader can't reach.
-pub const HEIR_KEY: &str = "ctl/heir";
+pub const SUCCESSOR_KEY: &str = "ctl/heir";
 
 pub const YIELD: Span = Span(2_000);
 
 /// Whether a leader should hand over to a peer: many of its machines are silent, and about as many
 /// report to its peers in vain, so it is the leader that can't be reached.
-pub fn should_hand_over(silent: usize, strays: usize, machines: usize) -> bool {
-    silent >= 2 && silent * 12 >= machines && strays * 3 >= silent * 2
+pub fn should_hand_over(silent: usize, misdirected: usize, machines: usize) -> bool {
+    silent >= 2 && silent * 12 >= machines && misdirected * 3 >= silent * 2
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -105,10 +105,10 @@
 
     /// A process that has just begun may have forgotten a promise, so it waits as long as one
     /// lasts, unless nobody has ever been in office.
-    pub fn may_run(&self, now: Mono, founded: bool) -> bool {
+    pub fn may_run(&self, now: Mono, initialized: bool) -> bool {
         now >= self.promised_until
             && now >= self.yields_until
-            && (!founded || now >= Mono(0) + self.promise.stretched())
+            && (!initialized || now >= Mono(0) + self.promise.stretched())
     }
 
     /// Only a matter of manners: whoever bids first leads.
--- a/src/core/leadership/tests.rs
+++ b/src/core/leadership/tests.rs
@@ -35,7 +35,7 @@
 
 /// What a process says that has been there since the store was empty.
 fn told_nothing() -> Cancellations {
-    let mut c = Cancellations::new();
+    let mut c = Cancellations::default();
     c.at_revision(Revision(0));
     c
 }
@@ -69,7 +69,7 @@
 fn a_promise_carries_what_the_leader_cannot_have_read() {
     let mut p = leadership();
     p.state_refused();
-    let mut c = Cancellations::new();
+    let mut c = Cancellations::default();
     let ask = |p: &mut Leadership, c: &Cancellations, read_to| {
         p.promise_to(Mono(20_000), Term(7), Revision(read_to), c).map(|p| p.cancelled)
     };
--- a/src/core/offices.rs
+++ b/src/core/offices.rs
@@ -78,7 +78,7 @@
     Controller {
         began,
         leadership: Leadership::new(Span(TTL), Span((CANCEL - LEASE) * 6 / 10)),
-        cancellations: Cancellations::new(),
+        cancellations: Cancellations::default(),
         frozen_until: 0,
         refused_until: 0,
         cut_until: 0,
--- a/src/core/sim.rs
+++ b/src/core/sim.rs
@@ -8,12 +8,12 @@
 use super::leadership::{LEADER_KEY, LeaderRecord};
 use super::miser;
 use crate::config::{Settings, Tuning, sample_settings};
-use crate::ids::{Attempt, FencingToken, JobId, LeaseId, Revision, Session, Tally, TaskId, Term};
+use crate::ids::{Attempt, FencingToken, JobId, LeaseId, Revision, Sequence, Session, TaskId, Term};
 use crate::peer::PlanOutput;
 use crate::time::{Mono, Span, Wall};
 use crate::wire::{
-    Cause, Change, JobPhase, JobSpec, Kind, LotPhase, LotReport, MachineType, Order, Priority, RentRequest, Report,
-    ReportAnswer, Row, Txn,
+    Cause, Change, JobPhase, JobSpec, Kind, MachineType, Order, Priority, RentRequest, Report, ReportAnswer, Row,
+    TaskPhase, TaskReport, Txn,
 };
 use fixedbitset::FixedBitSet;
 use rand::rngs::StdRng;
@@ -25,7 +25,7 @@
 const FORWARD_EVERY: u64 = 100;
 
 struct Task {
-    phase: LotPhase,
+    phase: TaskPhase,
     cause: Option<Cause>,
     /// When the next phase begins.
     next: u64,
@@ -47,7 +47,7 @@
     mute_until: u64,
     sick: bool,
     session: u64,
-    tally: u64,
+    sequence: u64,
     token: u64,
     began: u64,
     answered_sent: u64,
@@ -107,7 +107,7 @@
     },
     Rented {
         leader: u64,
-        hire: String,
+        name: String,
         result: RentResult,
     },
     Returned {
@@ -141,7 +141,7 @@
     leader: Option<Leader>,
     leader_no: u64,
     next_leader_at: u64,
-    hires: BTreeMap<String, Vec<String>>,
+    requests_made: BTreeMap<String, Vec<String>>,
     specs: BTreeMap<JobId, JobSpec>,
     cancelled: BTreeMap<JobId, u64>,
     really_done: BTreeSet<TaskId>,
@@ -196,7 +196,7 @@
             leader: None,
             leader_no: 0,
             next_leader_at: 0,
-            hires: BTreeMap::new(),
+            requests_made: BTreeMap::new(),
             specs: BTreeMap::new(),
             cancelled: BTreeMap::new(),
             really_done: BTreeSet::new(),
@@ -231,7 +231,7 @@
             mute_until: 0,
             sick: false,
             session: 1,
-            tally: 0,
+            sequence: 0,
             token: 0,
             began: up_at,
             answered_sent: up_at,
@@ -414,7 +414,7 @@
                 }
                 Action::Rent(r) => {
                     let result = if self.lost() { RentResult::Unknown } else { self.rent(&r) };
-                    self.post(200, Mail::Rented { leader, hire: r.hire, result });
+                    self.post(200, Mail::Rented { leader, name: r.name, result });
                 }
                 Action::Return(ids) => {
                     let ok = !self.lost();
@@ -431,7 +431,7 @@
     }
 
     fn rent(&mut self, r: &RentRequest) -> RentResult {
-        if let Some(names) = self.hires.get(&r.hire) {
+        if let Some(names) = self.requests_made.get(&r.name) {
             return RentResult::Rented(names.clone());
         }
         if self.workers.iter().filter(|w| !w.dead).count() >= 12 {
@@ -445,7 +445,7 @@
                 self.add_worker(kind, zone, r.spot, up)
             })
             .collect();
-        self.hires.insert(r.hire.clone(), names.clone());
+        self.requests_made.insert(r.name.clone(), names.clone());
         RentResult::Rented(names)
     }
 
@@ -453,7 +453,7 @@
 
     fn report(&mut self, i: usize) -> Report {
         let w = &mut self.workers[i];
-        w.tally += 1;
+        w.sequence += 1;
         Report {
             machine: format!("m-{i:06}"),
             endpoint: i.to_string(),
@@ -461,14 +461,14 @@
             zone: self.types[w.kind].zones[w.zone].clone(),
             spot: w.spot,
             session: Session(w.session),
-            tally: Tally(w.tally),
+            sequence: Sequence(w.sequence),
             token: FencingToken(w.token),
             notice_s: w.notice_at.map(|t| t.saturating_sub(self.now) as f64 / 1000.0),
-            lots: w
+            tasks: w
                 .tasks
                 .iter()
-                .map(|((t, a), x)| LotReport {
-                    lot: Some(*t),
+                .map(|((t, a), x)| TaskReport {
+                    task: Some(*t),
                     attempt: *a,
                     phase: x.phase,
                     cause: x.cause,
@@ -481,36 +481,36 @@
     fn execute(&mut self, i: usize, orders: &[Order]) {
         for o in orders {
             match o {
-                Order::Run { lot, attempt } => {
-                    let key = (*lot, *attempt);
+                Order::Run { task, attempt } => {
+                    let key = (*task, *attempt);
                     if !self.workers[i].tasks.contains_key(&key) {
                         self.check_start(i, &key.0);
                         self.starts += 1;
                         let next = self.now + self.rng.random_range(50..2_000);
-                        let t = Task { phase: LotPhase::Pulling, cause: None, next, kept: false };
+                        let t = Task { phase: TaskPhase::Pulling, cause: None, next, kept: false };
                         self.workers[i].tasks.insert(key, t);
                     }
                 }
-                Order::Stop { lot, attempt, leeway_s } => {
-                    let key = (*lot, *attempt);
+                Order::Stop { task, attempt, leeway_s } => {
+                    let key = (*task, *attempt);
                     let saves = self.specs[&key.0.job].checkpoint_s > 0.0;
                     let now = self.now;
                     if let Some(t) = self.workers[i].tasks.get_mut(&key) {
-                        if t.phase == LotPhase::Running && saves && *leeway_s > 0.0 {
-                            t.phase = LotPhase::Flushing;
+                        if t.phase == TaskPhase::Running && saves && *leeway_s > 0.0 {
+                            t.phase = TaskPhase::Flushing;
                             t.next = now + 500;
-                        } else if t.phase != LotPhase::Exited && !(t.phase == LotPhase::Flushing && *leeway_s > 0.0) {
-                            t.phase = LotPhase::Exited;
+                        } else if t.phase != TaskPhase::Exited && !(t.phase == TaskPhase::Flushing && *leeway_s > 0.0) {
+                            t.phase = TaskPhase::Exited;
                             t.cause = Some(Cause::Halted);
                         }
                     }
                 }
-                Order::Clear { lot, attempt } => {
-                    let key = (*lot, *attempt);
-                    if self.workers[i].tasks.get(&key).is_some_and(|t| t.phase == LotPhase::Exited) {
+                Order::Clear { task, attempt } => {
+                    let key = (*task, *attempt);
+                    if self.workers[i].tasks.get(&key).is_some_and(|t| t.phase == TaskPhase::Exited) {
                         let t = self.workers[i].tasks.remove(&key);
                         if t.is_some_and(|t| t.cause == Some(Cause::Done)) {
-                            self.cleared.insert(*lot);
+                            self.cleared.insert(*task);
                             self.check_done_bits();
                         }
                     }
@@ -536,7 +536,7 @@
         zones[w.zone] += 1;
         for (n, o) in self.workers.iter().enumerate().filter(|(_, o)| !o.dead) {
             for ((other, _), x) in &o.tasks {
-                if x.phase == LotPhase::Exited {
+                if x.phase == TaskPhase::Exited {
                     continue;
                 }
                 assert!(other != task, "ran_twice: {task} on m-{n:06} and m-{i:06} at {now}");
@@ -582,25 +582,25 @@
                     continue;
                 }
                 match t.phase {
-                    LotPhase::Pulling => {
+                    TaskPhase::Pulling => {
                         t.phase = if self.specs[&task.job].kind == Kind::Gang {
-                            LotPhase::Waiting
+                            TaskPhase::Waiting
                         } else {
-                            LotPhase::Running
+                            TaskPhase::Running
                         };
                         t.next = now + 2_000 + (attempt.0 * 7919 + u64::from(task.index) * 104_729) % 6_000;
                         if w.sick {
-                            t.phase = LotPhase::Exited;
+                            t.phase = TaskPhase::Exited;
                             t.cause = Some(Cause::Error);
                         }
                     }
-                    LotPhase::Running if self.specs[&task.job].kind == Kind::Array => {
-                        t.phase = LotPhase::Exited;
+                    TaskPhase::Running if self.specs[&task.job].kind == Kind::Array => {
+                        t.phase = TaskPhase::Exited;
                         t.cause = Some(Cause::Done);
                         ended.push(*task);
                     }
-                    LotPhase::Flushing => {
-                        t.phase = LotPhase::Exited;
+                    TaskPhase::Flushing => {
+                        t.phase = TaskPhase::Exited;
                         t.cause = Some(Cause::Halted);
                         t.kept = true;
                     }
@@ -616,7 +616,7 @@
             if w.in_flight.is_none() && now >= w.next_report {
                 let report = self.report(i);
                 let w = &mut self.workers[i];
-                w.in_flight = Some((report.tally.0, now));
+                w.in_flight = Some((report.sequence.0, now));
                 w.next_report = now + 1_500;
                 let cut = now < w.cut_until;
                 // A report on its way into a cut comes late or never.
@@ -674,7 +674,7 @@
         let mut runs: BTreeMap<(JobId, Attempt), Vec<(usize, TaskId)>> = BTreeMap::new();
         for (i, w) in self.workers.iter().enumerate().filter(|(_, w)| !w.dead) {
             for ((t, a), x) in &w.tasks {
-                if self.specs[&t.job].kind == Kind::Gang && x.phase != LotPhase::Exited {
+                if self.specs[&t.job].kind == Kind::Gang && x.phase != TaskPhase::Exited {
                     runs.entry((t.job, *a)).or_default().push((i, *t));
                 }
             }
@@ -686,20 +686,20 @@
             for (i, t) in &members {
                 phases.push(self.workers[*i].tasks[&(*t, a)].phase);
             }
-            let begin = all && phases.iter().all(|p| *p == LotPhase::Waiting);
-            let broken = !all && phases.contains(&LotPhase::Running);
+            let begin = all && phases.iter().all(|p| *p == TaskPhase::Waiting);
+            let broken = !all && phases.contains(&TaskPhase::Running);
             let done = all
                 && members.iter().all(|(i, t)| {
                     let x = &self.workers[*i].tasks[&(*t, a)];
-                    x.phase == LotPhase::Running && x.next <= now
+                    x.phase == TaskPhase::Running && x.next <= now
                 });
             for (i, t) in &members {
                 let x = self.workers[*i].tasks.get_mut(&(*t, a)).unwrap();
                 if begin {
-                    x.phase = LotPhase::Running;
+                    x.phase = TaskPhase::Running;
                     x.next = now + 4_000;
-                } else if done || broken && x.phase == LotPhase::Running {
-                    x.phase = LotPhase::Exited;
+                } else if done || broken && x.phase == TaskPhase::Running {
+                    x.phase = TaskPhase::Exited;
                     x.cause = Some(if done { Cause::Done } else { Cause::MatesGone });
                     if done {
                         self.really_done.insert(*t);
@@ -886,9 +886,9 @@
                     l.on_committed(now, ticket, result);
                 }
             }
-            Mail::Rented { leader, hire, result } if leader == current => {
+            Mail::Rented { leader, name, result } if leader == current => {
                 if let Some(l) = &mut self.leader {
-                    l.on_rented(now, &hire, result);
+                    l.on_rented(now, &name, result);
                 }
             }
             Mail::Returned { leader, names, ok } if leader == current => {
@@ -1013,7 +1013,7 @@
         for (i, w) in self.workers.iter().enumerate().filter(|(_, w)| !w.dead) {
             for ((t, _), x) in &w.tasks {
                 if let Some(at) = self.cancelled.get(&t.job) {
-                    let gone = x.phase == LotPhase::Exited || self.now - at <= 30_000;
+                    let gone = x.phase == TaskPhase::Exited || self.now - at <= 30_000;
                     assert!(gone, "ran_cancelled: {t} on m-{i:06} at {}", self.now);
                 }
             }
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -126,7 +126,7 @@
 );
 counter!(
     /// A worker's message count.
-    Tally
+    Sequence
 );
 counter!(
     /// A lease of the state service.
--- a/src/net/election.rs
+++ b/src/net/election.rs
@@ -4,7 +4,7 @@
 use super::node::{Inner, Node};
 use super::peers;
 use super::state::StateError;
-use crate::core::leadership::{FOUNDED_KEY, HEIR_KEY, LEADER_KEY, LeaderRecord, Office, YIELD};
+use crate::core::leadership::{INITIALIZED_KEY, LEADER_KEY, LeaderRecord, Office, SUCCESSOR_KEY, YIELD};
 use crate::ids::{Revision, Term};
 use crate::peer::HelloAnswer;
 use crate::time::Span;
@@ -16,7 +16,7 @@
 const POLL: Span = Span(350);
 
 pub async fn run(node: Arc<Node>) {
-    let mut founded = true;
+    let mut initialized = true;
     // Whoever has held the key until just now has no promise to keep: promises are made to the
     // holder of the key.
     let mut held_it = false;
@@ -46,18 +46,18 @@
             }
             Ok(None) => {
                 node.lock().leader_name = None;
-                if founded {
-                    let f = node.served(node.state.get(&node.http, FOUNDED_KEY)).await;
-                    founded = !matches!(f, Ok(None));
+                if initialized {
+                    let f = node.served(node.state.get(&node.http, INITIALIZED_KEY)).await;
+                    initialized = !matches!(f, Ok(None));
                 }
                 let may = {
                     let now = node.now();
-                    node.lock().leadership.may_run(now, founded && !held_it)
+                    node.lock().leadership.may_run(now, initialized && !held_it)
                 };
                 if may && !must_yield(&node).await {
                     held_it = false;
                     if let Some((office, record)) = bid(&node).await {
-                        founded = true;
+                        initialized = true;
                         hold_office(&node, office, record).await;
                         continue;
                     }
@@ -100,7 +100,7 @@
         guards: vec![Guard { path: LEADER_KEY.into(), revision: 0 }],
         apply: vec![
             Change::Write { write: LEADER_KEY.into(), value: json!(record), tenure: Some(lease.0) },
-            Change::write(FOUNDED_KEY, json!(true)),
+            Change::write(INITIALIZED_KEY, json!(true)),
         ],
     };
     let result = node.served(node.state.commit(&node.http, &txn)).await;
@@ -161,9 +161,9 @@
                 doubt(&mut node.lock(), !promised);
             }
         }
-        let heir = node.lock().heir.take();
-        if let Some(heir) = heir {
-            hand_over(node, office, heir).await;
+        let successor = node.lock().successor.take();
+        if let Some(successor) = successor {
+            hand_over(node, office, successor).await;
             break;
         }
         let now = node.now();
@@ -185,7 +185,7 @@
 }
 
 /// Stops acting, tells the peers who is to come, and ends the lease.
-async fn hand_over(node: &Arc<Node>, office: Office, heir: String) {
+async fn hand_over(node: &Arc<Node>, office: Office, successor: String) {
     let guard = {
         let now = node.now();
         let mut i = node.lock();
@@ -195,25 +195,28 @@
         i.leader.take().map_or(Revision(office.term.0), |l| l.guard())
     };
     let mut hello = peers::hello(node);
-    hello.heir = heir;
+    hello.successor = successor;
     // A peer that the leader can't reach reads of it in the state service.
-    let _ = tokio::join!(peers::ask_all(node, &hello, Span(300)), node.served(name_heir(node, guard, &hello.heir)));
+    let _ = tokio::join!(
+        peers::ask_all(node, &hello, Span(300)),
+        node.served(name_successor(node, guard, &hello.successor))
+    );
     // Unanswered, the lease ends by itself.
     let _ = node.served(node.state.revoke(&node.http, office.lease)).await;
 }
 
-async fn name_heir(node: &Arc<Node>, guard: Revision, heir: &str) -> Result<(), StateError> {
+async fn name_successor(node: &Arc<Node>, guard: Revision, successor: &str) -> Result<(), StateError> {
     let lease = node.state.grant(&node.http, YIELD).await?;
     let txn = Txn {
         guards: vec![Guard { path: LEADER_KEY.into(), revision: guard.0 }],
-        apply: vec![Change::Write { write: HEIR_KEY.into(), value: json!(heir), tenure: Some(lease.0) }],
+        apply: vec![Change::Write { write: SUCCESSOR_KEY.into(), value: json!(successor), tenure: Some(lease.0) }],
     };
     node.state.commit(&node.http, &txn).await.map(drop)
 }
 
 /// Whether a leader that has just handed over named somebody else.
 async fn must_yield(node: &Arc<Node>) -> bool {
-    let row = node.served(node.state.get(&node.http, HEIR_KEY)).await;
+    let row = node.served(node.state.get(&node.http, SUCCESSOR_KEY)).await;
     matches!(row, Ok(Some(row)) if row.value.as_str() != Some(&node.settings.name))
 }
 
--- a/src/net/leading.rs
+++ b/src/net/leading.rs
@@ -11,8 +11,8 @@
 use crate::core::shares::SHARES_KEY;
 use crate::ids::{JobId, Revision, Term};
 use crate::peer::HelloAnswer;
-use crate::time::Span;
-use crate::wire::{Change, Guard, LogEntry, MachineType, Report, Txn};
+use crate::time::{Mono, Span};
+use crate::wire::{Change, DirectOrders, Guard, LogEntry, MachineType, Report, Txn};
 use hyper::Method;
 use log::{debug, info, warn};
 use rand::seq::IndexedRandom;
@@ -21,6 +21,8 @@
 use std::sync::Arc;
 
 pub const KINDS_KEY: &str = "ctl/kinds";
+/// How long a worker has to answer orders.
+const ORDERS_LIMIT: Span = Span(2_000);
 
 /// Keeps the machine kinds known: from the state service, or (the leader) from the cloud.
 pub async fn learn_types(node: Arc<Node>) {
@@ -117,69 +119,36 @@
     Some(x)
 }
 
+/// Tells the ledger something, if there is one: also while not acting, as it is knowledge and no order.
+fn inform(node: &Node, tell: impl FnOnce(&mut Leader, Mono)) {
+    let now = node.now();
+    if let Some(leader) = &mut node.lock().leader {
+        tell(leader, now);
+    }
+}
+
 /// Carries out an action of the leader of a term. This process may have been frozen since the action
 /// was decided: what is no longer this leader's to send isn't sent.
 pub(super) async fn perform(node: Arc<Node>, term: Term, action: Action) {
     let now = node.now();
     let acting = node.lock().leadership.acting(now) == Some(term);
     match action {
-        Action::Orders { ticket, .. } if !acting => {
-            if let Some(l) = &mut node.lock().leader {
-                l.on_orders_result(now, ticket, OrdersResult::Unknown);
-            }
-        }
-        Action::Commit { ticket, .. } if !acting => {
-            if let Some(l) = &mut node.lock().leader {
-                l.on_committed(now, ticket, CommitResult::Refused);
-            }
-        }
-        Action::Return(ids) if !acting => {
-            if let Some(l) = &mut node.lock().leader {
-                l.on_returned(now, &ids, false);
-            }
-        }
-        Action::Rent(request) if !acting => {
-            if let Some(l) = &mut node.lock().leader {
-                l.on_rented(now, &request.hire, RentResult::Unknown);
-            }
-        }
         Action::Orders { ticket, endpoint, body } => {
-            let body = serde_json::to_vec(&body).unwrap_or_default();
-            let answer = node.orders.call(Method::POST, &endpoint, "/orders", body, Span(2_000)).await;
-            let report = |b: &[u8]| serde_json::from_slice::<Report>(b).ok();
-            let result = match answer {
-                Ok((200, b)) => report(&b).map_or(OrdersResult::Unknown, OrdersResult::Executed),
-                Ok((409, b)) => report(&b).map_or(OrdersResult::Unknown, OrdersResult::Rejected),
-                Ok((status, _)) => {
-                    warn!("orders to {endpoint}: status {status}");
-                    OrdersResult::Unknown
-                }
-                Err(e) => {
-                    debug!("orders to {endpoint}: {e}");
-                    OrdersResult::Unknown
-                }
-            };
-            // Kept even while not acting: it is knowledge, not an order.
-            let now = node.now();
-            if let Some(l) = &mut node.lock().leader {
-                l.on_orders_result(now, ticket, result);
-            }
+            let result = if acting { send_orders(&node, &endpoint, &body).await } else { OrdersResult::Unknown };
+            inform(&node, |leader, now| leader.on_orders_result(now, ticket, result));
             feed(&node, |_| ());
         }
         Action::Commit { ticket, txn } => {
-            let r = node.served(node.state.commit(&node.http, &txn)).await;
-            let now = node.now();
-            if let Some(l) = &mut node.lock().leader {
-                l.on_committed(now, ticket, commit_result(&r));
-            }
+            let result = match acting {
+                true => commit_result(&node.served(node.state.commit(&node.http, &txn)).await),
+                false => CommitResult::Refused,
+            };
+            inform(&node, |leader, now| leader.on_committed(now, ticket, result));
             feed(&node, |_| ());
         }
         Action::Reguard(txn) => {
             let revision = reguard(&node, &txn).await;
-            let now = node.now();
-            if let Some(l) = &mut node.lock().leader {
-                l.on_reguarded(now, revision);
-            }
+            inform(&node, |leader, now| leader.on_reguarded(now, revision));
             feed(&node, |_| ());
         }
         Action::Plan { node: peer, input } => {
@@ -188,19 +157,34 @@
             feed(&node, |l| l.on_plan(now, &peer, plan));
         }
         Action::Rent(request) => {
-            let result = node.cloud.rent(&node.http, node.now(), &request).await;
-            let now = node.now();
-            if let Some(l) = &mut node.lock().leader {
-                l.on_rented(now, &request.hire, result);
-            }
+            let result = match acting {
+                true => node.cloud.rent(&node.http, now, &request).await,
+                false => RentResult::Unknown,
+            };
+            inform(&node, |leader, now| leader.on_rented(now, &request.name, result));
         }
         Action::Return(ids) => {
             let names = ids.iter().map(|i| i.to_string()).collect();
-            let ok = node.cloud.give_back(&node.http, node.now(), names).await;
-            let now = node.now();
-            if let Some(l) = &mut node.lock().leader {
-                l.on_returned(now, &ids, ok);
-            }
+            let returned = acting && node.cloud.give_back(&node.http, now, names).await;
+            inform(&node, |leader, now| leader.on_returned(now, &ids, returned));
+        }
+    }
+}
+
+/// Sends orders to a worker, once.
+async fn send_orders(node: &Node, endpoint: &str, orders: &DirectOrders) -> OrdersResult {
+    let body = serde_json::to_vec(orders).unwrap_or_default();
+    let report = |body: &[u8]| serde_json::from_slice::<Report>(body).ok();
+    match node.orders.call(Method::POST, endpoint, "/orders", body, ORDERS_LIMIT).await {
+        Ok((200, body)) => report(&body).map_or(OrdersResult::Unknown, OrdersResult::Executed),
+        Ok((409, body)) => report(&body).map_or(OrdersResult::Unknown, OrdersResult::Rejected),
+        Ok((status, _)) => {
+            warn!("orders to {endpoint}: status {status}");
+            OrdersResult::Unknown
+        }
+        Err(e) => {
+            debug!("orders to {endpoint}: {e}");
+            OrdersResult::Unknown
         }
     }
 }
@@ -338,8 +322,8 @@
         node.settings.peers.iter().zip(answers).filter(|(_, answer)| able(answer)).map(|(peer, _)| peer).collect();
     let Some(peer) = able.choose(&mut rand::rng()) else { return };
     if inner.overload.note(now, lag) {
-        warn!("handing over: ticks are late by {} ms, heir={}", lag.0, peer.name);
-        inner.heir = Some(peer.name.clone());
+        warn!("handing over: ticks are late by {} ms, successor={}", lag.0, peer.name);
+        inner.successor = Some(peer.name.clone());
     }
 }
 
@@ -351,7 +335,7 @@
     node.lock().offloading.set_peers(peers);
 }
 
-/// Takes in what the peers have said, and names an heir if it is this controller that the workers
+/// Takes in what the peers have said, and names an successor if it is this controller that the workers
 /// can't reach. Once may be chance, as workers that have just lost their leader stray for a moment:
 /// returns how often in a row it looked so.
 fn judge(node: &Node, answers: &[Option<HelloAnswer>], silent: usize, all: usize, before: u32) -> u32 {
@@ -359,24 +343,24 @@
     let mut inner = node.lock();
     let Some(l) = &mut inner.leader else { return 0 };
     // Workers go round the controllers, so no single peer hears all of them at once.
-    let mut strays: BTreeSet<&str> = BTreeSet::new();
-    let mut heir: Option<(usize, &str)> = None;
+    let mut misdirected: BTreeSet<&str> = BTreeSet::new();
+    let mut successor: Option<(usize, &str)> = None;
     for (peer, a) in node.settings.peers.iter().zip(answers) {
         let Some(a) = a else { continue };
         l.peer_answered(now, &peer.name);
-        strays.extend(a.strays.iter().map(String::as_str));
+        misdirected.extend(a.misdirected.iter().map(String::as_str));
         if a.state_ok {
-            heir = heir.max(Some((a.strays.len(), &peer.name)));
+            successor = successor.max(Some((a.misdirected.len(), &peer.name)));
         }
     }
-    let Some((1.., name)) = heir else { return 0 };
-    if !l.settled(now) || !should_hand_over(silent, strays.len(), all) {
+    let Some((1.., name)) = successor else { return 0 };
+    if !l.settled(now) || !should_hand_over(silent, misdirected.len(), all) {
         return 0;
     }
     let name = name.to_string();
     if before >= 1 || silent * 2 >= all {
-        warn!("handing over: silent={silent} machines={all} heir={name}");
-        inner.heir = Some(name);
+        warn!("handing over: silent={silent} machines={all} successor={name}");
+        inner.successor = Some(name);
     }
     before + 1
 }
--- a/src/net/loopback.rs
+++ b/src/net/loopback.rs
@@ -6,7 +6,7 @@
 use crate::config::{Settings, Tuning, sample_settings};
 use crate::core::cancellations::Cancellations;
 use crate::core::leader::Action;
-use crate::core::leadership::{HEIR_KEY, LEADER_KEY};
+use crate::core::leadership::{LEADER_KEY, SUCCESSOR_KEY};
 use crate::ids::{Attempt, FencingToken, LeaseId, Revision, Session, TaskId, Term};
 use crate::time::{Mono, Span};
 use crate::wire::{Change, DirectOrders, Order, Txn};
@@ -30,9 +30,9 @@
     /// It refuses these controllers alone.
     refused: BTreeSet<String>,
     worker: String,
-    tally: u64,
+    sequence: u64,
     token: u64,
-    lots: BTreeMap<String, Value>,
+    tasks: BTreeMap<String, Value>,
     orders: Vec<Order>,
 }
 
@@ -71,10 +71,10 @@
     }
 
     fn report(&mut self) -> Value {
-        self.tally += 1;
+        self.sequence += 1;
         json!({"plinth": "m-000001", "endpoint": self.worker, "build": "g8", "quay": "a", "loaner": false,
-            "shift": 1, "tally": self.tally, "baton": self.token, "warn_s": null,
-            "lots": self.lots.values().collect::<Vec<_>>()})
+            "shift": 1, "tally": self.sequence, "baton": self.token, "warn_s": null,
+            "lots": self.tasks.values().collect::<Vec<_>>()})
     }
 
     fn state(&mut self, method: &str, path: &str, query: &str, body: &[u8]) -> (u16, Value) {
@@ -141,9 +141,9 @@
                     let v: Value = serde_json::from_slice(&body).unwrap();
                     w.token = w.token.max(v["baton"].as_u64().unwrap());
                     for o in serde_json::from_value::<Vec<Order>>(v["orders"].clone()).unwrap() {
-                        if let Order::Run { lot, attempt } = &o {
-                            let entry = json!({"lot": lot, "try": attempt, "phase": "running"});
-                            w.lots.insert(lot.to_string(), entry);
+                        if let Order::Run { task, attempt } = &o {
+                            let entry = json!({"lot": task, "try": attempt, "phase": "running"});
+                            w.tasks.insert(task.to_string(), entry);
                         }
                         w.orders.push(o);
                     }
@@ -262,7 +262,7 @@
         let mut w = world.lock().unwrap();
         w.token = w.token.max(answer["baton"].as_u64().unwrap_or(0));
         if answer["orders"].to_string().contains("stop") {
-            w.lots.clear();
+            w.tasks.clear();
         }
         status
     };
@@ -272,7 +272,7 @@
         let read_to = leader.lock().leadership.office().map_or(0, |o| o.read_to.0);
         let known = other.lock().cancellations.since(Revision(read_to)).is_some();
         let w = world.lock().unwrap();
-        !w.lots.is_empty() && known
+        !w.tasks.is_empty() && known
     })
     .await;
 
@@ -283,7 +283,7 @@
     let since = std::time::Instant::now();
     until(async || {
         report().await;
-        world.lock().unwrap().lots.is_empty()
+        world.lock().unwrap().tasks.is_empty()
     })
     .await;
     // It goes on for longer than its lease, as the other has promised.
@@ -294,7 +294,7 @@
     until(async || report().await == 200).await;
 
     // The other ends, and what is there in its place can't tell what users were told: no promise.
-    other.lock().cancellations = Cancellations::new();
+    other.lock().cancellations = Cancellations::default();
     until(async || report().await == 421).await;
 }
 
@@ -321,7 +321,7 @@
     until(async || {
         let (status, answer) = report(&at_other).await;
         let term = leader.lock().leadership.office().map(|o| FencingToken::new(o.term, 0));
-        let held = !world.lock().unwrap().lots.is_empty();
+        let held = !world.lock().unwrap().tasks.is_empty();
         held && status == 200 && answer["baton"] == json!(term)
     })
     .await;
@@ -411,14 +411,14 @@
         let (status, answer) = report().await;
         let mut w = world.lock().unwrap();
         w.token = w.token.max(answer["baton"].as_u64().unwrap_or(0));
-        status == 200 && w.lots.len() == 2
+        status == 200 && w.tasks.len() == 2
     })
     .await;
     assert!(world.lock().unwrap().store.contains_key("fleet/m-000001"), "commissioned before its first order");
     until(async || c.get("/api/jobs/req-000001").await.1["phase"] == "running").await;
-    for lot in world.lock().unwrap().lots.values_mut() {
-        lot["phase"] = json!("exited");
-        lot["cause"] = json!("done");
+    for listed in world.lock().unwrap().tasks.values_mut() {
+        listed["phase"] = json!("exited");
+        listed["cause"] = json!("done");
     }
     until(async || {
         report().await;
@@ -449,11 +449,11 @@
 }
 
 #[tokio::test]
-async fn a_named_heir_is_waited_for_and_a_worker_is_not_sent_to_and_fro() {
+async fn a_named_successor_is_waited_for_and_a_worker_is_not_sent_to_and_fro() {
     // With two zones parted, a leader in one handed over to a controller that heard both, and one in
     // the other zone, which it couldn't tell, took the office first.
     let world = Arc::new(Mutex::new(World::default()));
-    world.lock().unwrap().store.insert(HEIR_KEY.into(), (json!("plinth-1"), 1));
+    world.lock().unwrap().store.insert(SUCCESSOR_KEY.into(), (json!("plinth-1"), 1));
     let (node, c) = controller(&world, false);
     tokio::spawn(leading::learn_types(node.clone()));
     tokio::spawn(election::run(node.clone()));
@@ -468,7 +468,7 @@
         "shift": 1, "tally": 1, "baton": 0});
     assert_eq!(c.post("/v1/report", r.clone()).await, (421, json!({"steward": "plinth-1"})));
     assert_eq!(c.post("/v1/report", r).await, (421, json!({"steward": "plinth-1"})), "it may be about to start");
-    let sent = |at| node.lock().note_stray("m-000010", Mono(at), Some("plinth-1".into())).is_some();
+    let sent = |at| node.lock().note_misdirected("m-000010", Mono(at), Some("plinth-1".into())).is_some();
     assert_eq!([20_000, 21_000, 26_000, 40_000].map(sent), [true, true, false, true]);
 
     world.lock().unwrap().store.clear();
@@ -485,7 +485,7 @@
     let own = FencingToken::new(Term(5), 0);
     let empty = world.lock().unwrap().report();
     assert_eq!(c.post("/v1/report", empty).await, (200, json!({"baton": own, "orders": []})));
-    world.lock().unwrap().lots.insert("any".into(), json!({"lot": "req-000001/0", "try": 1, "phase": "running"}));
+    world.lock().unwrap().tasks.insert("any".into(), json!({"lot": "req-000001/0", "try": 1, "phase": "running"}));
     let busy = world.lock().unwrap().report();
     assert_eq!(c.post("/v1/report", busy).await, (200, json!({"baton": 0, "orders": []})));
 }
@@ -496,7 +496,7 @@
     let (node, _) = controller(&world, false);
     tokio::time::sleep(Span(200).std()).await;
     let endpoint = world.lock().unwrap().worker.clone();
-    let run = Order::Run { lot: TaskId::parse("req-000001/0").unwrap(), attempt: Attempt(1) };
+    let run = Order::Run { task: TaskId::parse("req-000001/0").unwrap(), attempt: Attempt(1) };
     let body = DirectOrders { token: FencingToken::new(Term(5), 0), session: Session(1), orders: vec![run] };
     let order = || Action::Orders { ticket: 1, endpoint: endpoint.clone(), body: body.clone() };
     leading::perform(node.clone(), Term(5), order()).await;
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -55,11 +55,11 @@
     /// Who leads, by the word of a peer that the state service answers.
     pub leader_by_peers: Option<String>,
     /// Machines that have reported here while another led, and when.
-    strays: HashMap<String, Stray>,
+    misdirected: HashMap<String, Misdirected>,
     /// Machines that the leader has said it doesn't hear from.
     pub silent: HashSet<String>,
     /// The peer that this controller's office should go to.
-    pub heir: Option<String>,
+    pub successor: Option<String>,
     /// Workers' reports on their way to the leader.
     pub forwarding: Forwarding,
     /// While leading: the peers that take workers' reports.
@@ -71,27 +71,27 @@
 /// Workers wait this long for an answer (PROTOCOL).
 const IN_VAIN: Span = Span(4_000);
 
-struct Stray {
+struct Misdirected {
     at: Mono,
     /// Whom it was sent to.
     sent_to: Option<String>,
 }
 
 /// A worker that has lost its leader may take this long to come round to a controller again.
-const STRAY_FOR: Span = Span(8_000);
-/// Far more machines than any fleet served has; a fleet beyond it only loses track of strays.
-const MAX_STRAYS: usize = 65_536;
+const MISDIRECTED_FOR: Span = Span(8_000);
+/// Far more machines than any fleet served has; a fleet beyond it only loses track of misdirected.
+const MAX_MISDIRECTED: usize = 65_536;
 
 impl Inner {
     /// Notes that a machine tried to report here, and says which controller to send it to. One that
     /// has waited there in vain and comes back can't reach it, and would only be sent to and fro. One
     /// that was turned away at once is sent again: that controller may be about to start.
-    pub fn note_stray(&mut self, machine: &str, now: Mono, leader: Option<String>) -> Option<String> {
-        if self.strays.len() >= MAX_STRAYS {
-            self.strays.clear();
+    pub fn note_misdirected(&mut self, machine: &str, now: Mono, leader: Option<String>) -> Option<String> {
+        if self.misdirected.len() >= MAX_MISDIRECTED {
+            self.misdirected.clear();
         }
-        let before = self.strays.insert(machine.into(), Stray { at: now, sent_to: leader.clone() });
-        let waited = |b: &Stray| (IN_VAIN..=STRAY_FOR).contains(&(now - b.at));
+        let before = self.misdirected.insert(machine.into(), Misdirected { at: now, sent_to: leader.clone() });
+        let waited = |b: &Misdirected| (IN_VAIN..=MISDIRECTED_FOR).contains(&(now - b.at));
         leader.filter(|l| before.is_none_or(|b| !waited(&b) || b.sent_to.as_ref() != Some(l)))
     }
 
@@ -101,9 +101,9 @@
     }
 
     /// Of these machines, those that have lately tried to report here.
-    pub fn strays_among(&mut self, machines: &[String], now: Mono) -> Vec<String> {
-        self.strays.retain(|_, s| now - s.at <= STRAY_FOR);
-        machines.iter().filter(|m| self.strays.contains_key(*m)).cloned().collect()
+    pub fn misdirected_among(&mut self, machines: &[String], now: Mono) -> Vec<String> {
+        self.misdirected.retain(|_, s| now - s.at <= MISDIRECTED_FOR);
+        machines.iter().filter(|m| self.misdirected.contains_key(*m)).cloned().collect()
     }
 }
 
@@ -144,7 +144,7 @@
             leader_name: None,
             types: None,
             finals: Finals { map: HashMap::new(), order: VecDeque::new() },
-            cancellations: Cancellations::new(),
+            cancellations: Cancellations::default(),
             counts: HashMap::new(),
             user_requests: 0,
             refused_since: None,
@@ -152,9 +152,9 @@
             peer_has_state: false,
             alone: false,
             leader_by_peers: None,
-            strays: HashMap::new(),
+            misdirected: HashMap::new(),
             silent: HashSet::new(),
-            heir: None,
+            successor: None,
             forwarding: Forwarding::default(),
             offloading: Offloading::default(),
             overload: Overload::default(),
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -63,7 +63,7 @@
     let now = node.now();
     let mut inner = node.lock();
     let i = &mut *inner;
-    let strays = i.strays_among(&hello.silent, now);
+    let misdirected = i.misdirected_among(&hello.silent, now);
     if hello.leading && !hello.hold_on {
         i.silent = hello.silent.into_iter().collect();
         i.take_counts(&hello.counts);
@@ -72,11 +72,11 @@
             node.report_waits.notify_one();
         }
     }
-    if !hello.heir.is_empty() && hello.heir != node.settings.name {
+    if !hello.successor.is_empty() && hello.successor != node.settings.name {
         i.leadership.yield_office(now);
     }
     let mut answer =
-        HelloAnswer { version: VERSION, strays, state_ok: !i.leadership.is_refused(), ..Default::default() };
+        HelloAnswer { version: VERSION, misdirected, state_ok: !i.leadership.is_refused(), ..Default::default() };
     if hello.hold_on
         && let Some(p) = i.leadership.promise_to(now, Term(hello.term), Revision(hello.read_to), &i.cancellations)
     {
--- a/src/net/reports.rs
+++ b/src/net/reports.rs
@@ -106,7 +106,7 @@
     // state service fell silent may send it round in circles; peers may know.
     let known = if inner.refused_since.is_some() { &inner.leader_by_peers } else { &inner.leader_name };
     let known = if inner.silent.contains(&report.machine) { None } else { known.clone() };
-    inner.note_stray(&report.machine, now, known).filter(|name| *name != node.settings.name)
+    inner.note_misdirected(&report.machine, now, known).filter(|name| *name != node.settings.name)
 }
 
 /// Decides on reports that a peer has passed on; none: the message can't be read or is of another
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -26,7 +26,7 @@
     pub leading: bool,
     /// The sender gives up its office in favour of this controller; others hold back a while.
     #[prost(string, tag = "7")]
-    pub heir: String,
+    pub successor: String,
     /// Machines that the leader doesn't hear from: no use sending them to it.
     #[prost(string, repeated, tag = "8")]
     pub silent: Vec<String>,
@@ -60,7 +60,7 @@
     pub promise_ms: u64,
     /// Of the machines that the asking leader doesn't hear, those that have lately tried here.
     #[prost(string, repeated, tag = "4")]
-    pub strays: Vec<String>,
+    pub misdirected: Vec<String>,
     /// Who leads, as far as the answering controller has read it from the state service.
     #[prost(string, tag = "5")]
     pub leader: String,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,6 +1,6 @@
 //! The JSON of users, workers, cloud and state service. The odd names of the wire stay here.
 
-use crate::ids::{Attempt, FencingToken, Session, Tally, TaskId};
+use crate::ids::{Attempt, FencingToken, Sequence, Session, TaskId};
 use serde::{Deserialize, Deserializer, Serialize};
 use serde_json::Value;
 use std::borrow::Cow;
@@ -90,7 +90,7 @@
 
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
-pub enum LotPhase {
+pub enum TaskPhase {
     Pulling,
     Waiting,
     Running,
@@ -115,22 +115,22 @@
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct LotReport {
+pub struct TaskReport {
     /// None: a name that no task has.
-    #[serde(deserialize_with = "task_if_any")]
-    pub lot: Option<TaskId>,
+    #[serde(rename = "lot", deserialize_with = "task_if_any")]
+    pub task: Option<TaskId>,
     #[serde(rename = "try")]
     pub attempt: Attempt,
-    pub phase: LotPhase,
+    pub phase: TaskPhase,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub cause: Option<Cause>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub kept: Option<bool>,
 }
 
-impl LotReport {
+impl TaskReport {
     pub fn is_done(&self) -> bool {
-        self.phase == LotPhase::Exited && self.cause == Some(Cause::Done)
+        self.phase == TaskPhase::Exited && self.cause == Some(Cause::Done)
     }
 }
 
@@ -153,31 +153,36 @@
     pub spot: bool,
     #[serde(rename = "shift")]
     pub session: Session,
-    pub tally: Tally,
+    /// Larger in every later message of the session.
+    #[serde(rename = "tally")]
+    pub sequence: Sequence,
     #[serde(rename = "baton")]
     pub token: FencingToken,
     #[serde(rename = "warn_s", default)]
     pub notice_s: Option<f64>,
-    #[serde(default)]
-    pub lots: Vec<LotReport>,
+    #[serde(rename = "lots", default)]
+    pub tasks: Vec<TaskReport>,
 }
 
 #[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
 #[serde(tag = "verb", rename_all = "lowercase")]
 pub enum Order {
     Run {
-        lot: TaskId,
+        #[serde(rename = "lot")]
+        task: TaskId,
         #[serde(rename = "try")]
         attempt: Attempt,
     },
     Stop {
-        lot: TaskId,
+        #[serde(rename = "lot")]
+        task: TaskId,
         #[serde(rename = "try")]
         attempt: Attempt,
         leeway_s: f64,
     },
     Clear {
-        lot: TaskId,
+        #[serde(rename = "lot")]
+        task: TaskId,
         #[serde(rename = "try")]
         attempt: Attempt,
     },
@@ -235,7 +240,9 @@
 
 #[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
 pub struct RentRequest {
-    pub hire: String,
+    /// The same name again rents nothing more.
+    #[serde(rename = "hire")]
+    pub name: String,
     #[serde(rename = "build")]
     pub kind: String,
     #[serde(rename = "quay")]
