--- /dev/null
+++ b/src/core/leader/gpu_demand.rs
@@ -0,0 +1,65 @@
+//! How many GPUs jobs have wanted lately, and so how many GPU machines work without GPUs may fill.
+
+use crate::time::Mono;
+
+/// What jobs have wanted is forgotten over this long.
+const MEMORY_S: f64 = 15.0;
+
+/// A maximum that fades to what is measured now.
+#[derive(Clone, Copy, Default)]
+struct FadingMaximum(f64);
+
+impl FadingMaximum {
+    fn update(&mut self, now: f64, fade: f64) -> f64 {
+        self.0 = now.max(self.0 + (now - self.0) * fade);
+        self.0
+    }
+}
+
+/// The most GPUs that jobs have had in each zone and waited for in all, fading to what it is now.
+pub(super) struct GpuDemand {
+    in_use: Vec<FadingMaximum>,
+    awaited: FadingMaximum,
+    updated_at: Mono,
+}
+
+/// GPUs that nobody has wanted lately.
+pub(super) struct UnwantedGpus {
+    by_zone: Vec<f64>,
+    in_all: f64,
+}
+
+impl GpuDemand {
+    pub fn new(zones: usize, now: Mono) -> GpuDemand {
+        GpuDemand { in_use: vec![FadingMaximum::default(); zones], awaited: FadingMaximum::default(), updated_at: now }
+    }
+
+    /// Takes in how many GPUs there are and are in use by zone, and how many are waited for; the latter may be
+    /// in any zone.
+    pub fn update(&mut self, now: Mono, there: Vec<f64>, in_use: &[f64], awaited: f64) -> UnwantedGpus {
+        let fade = ((now - self.updated_at).as_secs() / MEMORY_S).min(1.0);
+        self.updated_at = now;
+        let mut by_zone = there;
+        for ((maximum, used), left) in self.in_use.iter_mut().zip(in_use).zip(&mut by_zone) {
+            *left -= maximum.update(*used, fade);
+        }
+        let in_all = by_zone.iter().sum::<f64>() - self.awaited.update(awaited, fade);
+        UnwantedGpus { by_zone, in_all }
+    }
+}
+
+impl UnwantedGpus {
+    /// Takes that many GPUs of a zone, if so many are not wanted.
+    pub fn take(&mut self, zone: u32, gpus: f64) -> bool {
+        let left = &mut self.by_zone[zone as usize];
+        if left.min(self.in_all) < gpus {
+            return false;
+        }
+        *left -= gpus;
+        self.in_all -= gpus;
+        true
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/core/leader/mod.rs
+++ b/src/core/leader/mod.rs
@@ -2,8 +2,10 @@
 //! to send to workers, cloud and state service. A state machine: the edges feed it inputs and
 //! carry out the actions it leaves behind.
 
+mod gpu_demand;
 mod machines;
 mod planner_view;
+mod reservations;
 mod room;
 mod rounds;
 #[cfg(test)]
@@ -11,7 +13,9 @@
 mod workers;
 mod writes;
 
+use self::gpu_demand::GpuDemand;
 use self::planner_view::PlannerView;
+use self::reservations::Reservations;
 use crate::config::{Settings, Team, Tuning};
 use crate::core::fleet::{
     AVOIDED_FOR, Amount, Commission, FLEET, FleetRecord, Machine, Route, Sent, Slot, SlotKey, fleet_key,
@@ -159,14 +163,11 @@
     team_names: Vec<String>,
     /// For each type the most that a GPU job has asked of it.
     gpu_needs: Vec<Amount>,
-    /// The most GPUs that jobs have had in each zone and waited for in all, fading to what it is now.
-    gpus_wanted: Vec<f64>,
-    gpus_awaited: f64,
-    lent_at: Mono,
+    gpu_demand: GpuDemand,
     /// GPU machines that plain work may fill, as of the last round.
     lent: BTreeSet<MachineId>,
     open_round: Option<Round>,
-    reservations: Vec<Reservation>,
+    reservations: Reservations,
     move_at: Mono,
     /// The jobs within their team's guarantee, as of the last round.
     within_guarantee: BTreeSet<JobId>,
@@ -227,17 +228,6 @@
     until: Mono,
 }
 
-/// Room on a machine kept for one task of a job, as work was stopped to make it. Without it, other
-/// work would take the room as soon as it is free, and be stopped again.
-struct Reservation {
-    machine: MachineId,
-    job: JobId,
-    need: Amount,
-    until: Mono,
-}
-
-const RESERVED_FOR: Span = Span(4_000);
-
 /// The edges call [`Leader::tick`] this often.
 pub const TICK: Span = Span(50);
 
@@ -293,9 +283,7 @@
             reguard: Reguard::No,
             in_doubt: false,
             since: now,
-            gpus_wanted: vec![0.0; zones.len()],
-            gpus_awaited: 0.0,
-            lent_at: now,
+            gpu_demand: GpuDemand::new(zones.len(), now),
             lent: BTreeSet::new(),
             zones,
             images: HashMap::new(),
@@ -325,7 +313,7 @@
             gpu_needs: vec![Amount::default(); types.len()],
             types,
             open_round: None,
-            reservations: Vec::new(),
+            reservations: Reservations::default(),
             move_at: now,
             within_guarantee: BTreeSet::new(),
             unaccounted: false,
--- a/src/core/leader/planner_view.rs
+++ b/src/core/leader/planner_view.rs
@@ -122,7 +122,7 @@
     fn machine_views(&self, now: Mono, least: Option<Amount>) -> MachineViews {
         let quiet = self.quiet();
         let mut kept: BTreeMap<&MachineId, Amount> = BTreeMap::new();
-        for r in &self.reservations {
+        for r in self.reservations.iter() {
             kept.entry(&r.machine).or_default().add(&r.need);
         }
         let mut all = MachineViews::default();
@@ -258,7 +258,7 @@
         if gang && (job.gang.is_some() || !job.placed.is_empty()) {
             return None;
         }
-        let reserved = self.reservations.iter().filter(|r| r.job == *id).count() as u32;
+        let reserved = self.reservations.of(id).count() as u32;
         let all = (job.ready.len() as u32).saturating_sub(reserved);
         if all == 0 || gang && reserved > 0 {
             return None;
--- a/src/core/leader/room.rs
+++ b/src/core/leader/room.rs
@@ -3,10 +3,6 @@
 use super::planner_view::{PlannedJob, PlannerView, wall_age, zone_counts};
 use super::*;
 
-/// How long the most GPUs that jobs have wanted are kept free for them, about a run's time of the
-/// work that could have had them.
-const GPU_MEMORY_S: f64 = 15.0;
-
 impl Leader {
     /// Tasks that found no machine that is up: preemption, and the paper's second fall-back.
     pub(super) fn heed_waiting(&mut self, now: Mono, view: &PlannerView, out: &PlanOutput) {
@@ -61,41 +57,23 @@
     /// wanted lately, and those first that do such work already. Filled as they come free, they
     /// would be cleared for the next GPU job, and what ran there would start over each time.
     pub(super) fn lend(&mut self, now: Mono, waiting: &BTreeSet<JobId>) {
-        let mut left = vec![0.0; self.zones.len()];
-        let mut wanted = vec![0.0; self.zones.len()];
+        let mut there = vec![0.0; self.zones.len()];
+        let mut in_use = vec![0.0; self.zones.len()];
         let mut idle: Vec<(f64, &MachineId, &Machine)> = Vec::new();
         for (id, m) in self.machines.iter().filter(|(_, m)| m.up && !m.doomed && self.types[m.kind].gpus > 0.0) {
-            left[m.zone as usize] += self.types[m.kind].gpus;
+            there[m.zone as usize] += self.types[m.kind].gpus;
             let used = m.used();
-            wanted[m.zone as usize] += used.gpus;
+            in_use[m.zone as usize] += used.gpus;
             if used.gpus <= 0.0 {
                 idle.push((used.cpus, id, m));
             }
         }
         let jobs = waiting.iter().filter_map(|id| self.jobs.get(id));
-        let waits: f64 = jobs.map(|j| j.ready.len() as f64 * j.spec.gpus).sum();
-        let fade = ((now - self.lent_at).as_secs() / GPU_MEMORY_S).min(1.0);
-        self.lent_at = now;
-        let recall = |peak: &mut f64, now: f64| {
-            *peak = now.max(*peak + (now - *peak) * fade);
-            *peak
-        };
-        for ((peak, wanted), left) in self.gpus_wanted.iter_mut().zip(wanted).zip(&mut left) {
-            *left -= recall(peak, wanted);
-        }
-        // What waits may go to any zone.
-        let mut all = left.iter().sum::<f64>() - recall(&mut self.gpus_awaited, waits);
+        let awaited: f64 = jobs.map(|j| j.ready.len() as f64 * j.spec.gpus).sum();
+        let mut unwanted = self.gpu_demand.update(now, there, &in_use, awaited);
         idle.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(b.1)));
-        let mut lent = BTreeSet::new();
-        for (_, id, m) in idle {
-            let left = &mut left[m.zone as usize];
-            let gpus = self.types[m.kind].gpus;
-            if left.min(all) >= gpus {
-                *left -= gpus;
-                all -= gpus;
-                lent.insert(id.clone());
-            }
-        }
+        let lent = idle.into_iter().filter(|(_, _, m)| unwanted.take(m.zone, self.types[m.kind].gpus));
+        let lent = lent.map(|(_, id, _)| id.clone()).collect();
         self.lent = lent;
     }
 
@@ -120,10 +98,6 @@
         part.cpus + 1e-6 >= s.cpus && part.memory_gb + 1e-6 >= s.memory_gb
     }
 
-    pub(super) fn reserved(&self, id: &MachineId) -> impl Iterator<Item = &Reservation> {
-        self.reservations.iter().filter(move |r| r.machine == *id)
-    }
-
     /// Moves replicas off machines that do nothing else, onto machines that are busy anyway, so
     /// that the former can go back. One at a time, and only while nothing waits.
     pub(super) fn consolidate(&mut self, now: Mono) {
@@ -180,21 +154,19 @@
         info!("moving {} from {from} to {to}", key.0);
         let job = key.0.job;
         self.stop_task(&from, &key);
-        self.reservations.push(Reservation { machine: to, job, need, until: now + RESERVED_FOR });
+        self.reservations.add(now, to, job, need);
     }
 
     /// Starts what room was kept for, once it is there.
     pub(super) fn use_reservations(&mut self, now: Mono) {
-        self.reservations.retain(|r| r.until > now);
+        self.reservations.expire(now);
         let mut done: BTreeSet<JobId> = BTreeSet::new();
-        let jobs: BTreeSet<JobId> = self.reservations.iter().map(|r| r.job).collect();
-        for job in jobs {
+        for job in self.reservations.jobs() {
             let Some(j) = self.jobs.get(&job) else {
                 done.insert(job);
                 continue;
             };
-            let mut machines: Vec<MachineId> =
-                self.reservations.iter().filter(|r| r.job == job).map(|r| r.machine.clone()).collect();
+            let mut machines: Vec<MachineId> = self.reservations.of(&job).map(|r| r.machine.clone()).collect();
             if j.spec.kind == Kind::Gang {
                 let tasks = j.spec.tasks;
                 machines.truncate(tasks as usize);
@@ -216,15 +188,13 @@
                     break;
                 };
                 if self.may_place(now, &job, &machine, 1.0) {
-                    if let Some(at) = self.reservations.iter().position(|r| r.job == job && r.machine == machine) {
-                        self.reservations.remove(at);
-                    }
+                    self.reservations.use_one(&job, &machine);
                     let attempt = self.next_attempt();
                     self.start(now, &job, index, &machine, attempt);
                 }
             }
         }
-        self.reservations.retain(|r| !done.contains(&r.job));
+        done.iter().for_each(|job| self.reservations.release(job));
     }
 
     /// Stops work of lower priority where that makes room for one task, if need be only where its
@@ -238,7 +208,7 @@
         let image = self.images.get(&spec.image).copied().unwrap_or(u32::MAX);
         // What is placed, and what room is being made for.
         let mut placed = zone_counts(j, &self.machines);
-        let coming = self.reservations.iter().filter(|r| r.job == *id).filter_map(|r| self.machines.get(&r.machine));
+        let coming = self.reservations.of(id).filter_map(|r| self.machines.get(&r.machine));
         placed.extend(coming.map(|m| ZoneCount { zone: m.zone, count: 1 }));
         let mut best: Option<(f64, MachineId, Vec<SlotKey>)> = None;
         for (mid, m) in &self.machines {
@@ -251,7 +221,7 @@
                 continue;
             }
             let mut free = m.free(t);
-            self.reserved(mid).for_each(|r| free.sub(&r.need));
+            self.reservations.on(mid).for_each(|r| free.sub(&r.need));
             // What is already told to stop will be free soon.
             for s in m.slots.values().filter(|s| !s.exited() && s.stop.is_some()) {
                 free.add(&s.need);
@@ -308,7 +278,7 @@
         for k in chosen {
             self.stop_task(&mid, &k);
         }
-        self.reservations.push(Reservation { machine: mid, job: *id, need, until: now + RESERVED_FOR });
+        self.reservations.add(now, mid, *id, need);
         true
     }
 
@@ -369,7 +339,7 @@
             return false;
         }
         let Some(j) = self.jobs.get(id) else { return false };
-        let held_in = self.reservations.iter().find(|r| r.job == *id).and_then(|r| self.machines.get(&r.machine));
+        let held_in = self.reservations.of(id).next().and_then(|r| self.machines.get(&r.machine));
         let held_in = held_in.map(|m| m.zone);
         // By zone: what is free for it now, what could be made so, and what its machines could
         // hold at the most. A gang that may be anywhere counts all zones as one.
@@ -384,7 +354,7 @@
         for (mid, m) in self.machines.iter().filter(|(mid, m)| self.suits(now, j, mid, m)) {
             let t = &self.types[m.kind];
             let mut free = m.free(t);
-            self.reserved(mid).filter(|r| r.job != *id).for_each(|r| free.sub(&r.need));
+            self.reservations.on(mid).filter(|r| r.job != *id).for_each(|r| free.sub(&r.need));
             let mut soon = free;
             for s in m.slots.values().filter(|s| !s.exited()) {
                 if s.stop.is_some() || priority_number(s.priority) > priority {
@@ -405,12 +375,11 @@
             .filter(|(_, z)| z.most >= tasks)
             .max_by_key(|(zone, z)| (held_in == Some(*zone), z.soon.min(tasks), free(z)));
         let Some((_, z)) = best.filter(|(_, z)| hold || z.soon >= tasks) else { return false };
-        self.reservations.retain(|r| r.job != *id);
-        let until = now + RESERVED_FOR;
+        self.reservations.release(id);
         let mut left = tasks;
         for (machine, n) in z.free {
             for _ in 0..n.min(left) {
-                self.reservations.push(Reservation { machine: machine.clone(), job: *id, need, until });
+                self.reservations.add(now, machine.clone(), *id, need);
                 left -= 1;
             }
         }
