--- a/src/core/leader/gpu_demand.rs
+++ b/src/core/leader/gpu_demand.rs
@@ -2,7 +2,8 @@
 
 use crate::time::Mono;
 
-/// What jobs have wanted is forgotten over this long.
+/// How long the most GPUs that jobs have wanted are kept free for them, in seconds: about a run of the work
+/// that could have had them.
 const MEMORY_S: f64 = 15.0;
 
 /// A maximum that fades to what is measured now.
