--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -139,8 +139,8 @@
     pub reported: (Session, Sequence),
     /// When the last report that was answered came in. A copy of an earlier one is no sign of life.
     pub last_report: Mono,
-    /// The way that it took.
-    pub route: Route,
+    /// The way that it took; none: this leader has not answered any.
+    pub route: Option<Route>,
     /// Its session has ended by the ledger's own count: what comes of it later is stale.
     pub ended: bool,
     /// It has reported under this leader's token, so answers reach it.
@@ -189,7 +189,7 @@
             sequence: Sequence(0),
             reported: (Session(0), Sequence(0)),
             last_report: now,
-            route: Route::DIRECT,
+            route: None,
             ended: false,
             confirmed: false,
             unacknowledged_since: None,
--- a/src/core/leader/machines.rs
+++ b/src/core/leader/machines.rs
@@ -12,7 +12,7 @@
 struct ManySilent {
     everywhere: bool,
     /// Of those whose reports came this way.
-    routes: BTreeSet<Route>,
+    routes: BTreeSet<Option<Route>>,
 }
 
 impl Leader {
@@ -93,7 +93,7 @@
         let up = self.machines.values().filter(|m| m.up && m.commission == Commission::Yes).count();
         let many_silent = self.many_silent(now);
         let strained = self.lag_ms >= STRAINED_LAG_MS;
-        let silent_after = |route: &Route| {
+        let silent_after = |route: &Option<Route>| {
             let excused = strained || many_silent.everywhere || many_silent.routes.contains(route);
             self.p.lease.times(if excused { 3.0 } else { 0.55 })
         };
@@ -167,7 +167,7 @@
     /// come to office than dead machines.
     fn many_silent(&self, now: Mono) -> ManySilent {
         let quiet = self.quiet();
-        let mut counts: BTreeMap<Route, (usize, usize)> = BTreeMap::new();
+        let mut counts: BTreeMap<Option<Route>, (usize, usize)> = BTreeMap::new();
         for m in self.machines.values().filter(|m| m.commission == Commission::Yes) {
             let (up, silent) = counts.entry(m.route).or_default();
             *up += usize::from(m.up);
@@ -176,7 +176,11 @@
         let many = |up: usize, silent: usize| silent > 2 && silent * 3 > up;
         let up = counts.values().map(|(up, _)| up).sum();
         let silent = counts.values().map(|(_, silent)| silent).sum();
-        let routes = counts.iter().filter(|(_, (up, silent))| many(*up, *silent)).map(|(route, _)| *route).collect();
+        // Machines that were never heard from tell nothing about a way.
+        let on_route = |(route, (up, silent)): (&Option<Route>, &(usize, usize))| {
+            (route.is_some() && many(*up, *silent)).then_some(*route)
+        };
+        let routes = counts.iter().filter_map(on_route).collect();
         ManySilent { everywhere: many(up, silent), routes }
     }
 
--- a/src/core/leader/mod.rs
+++ b/src/core/leader/mod.rs
@@ -331,9 +331,10 @@
         self.guard
     }
 
-    /// Whether a machine has reported under this leader's token, so that answers reach it.
-    pub fn is_confirmed(&self, id: &MachineId) -> bool {
-        self.machines.get(id).is_some_and(|m| m.confirmed)
+    /// Whether a worker may be sent to another controller now: answers reach it, and this leader is not
+    /// just gathering its machines.
+    pub fn may_move(&self, now: Mono, id: &MachineId) -> bool {
+        self.settled(now) && self.machines.get(id).is_some_and(|m| m.confirmed)
     }
 
     /// In doubt nothing is started: what users have been told meanwhile isn't known.
--- a/src/core/leader/tests.rs
+++ b/src/core/leader/tests.rs
@@ -318,9 +318,15 @@
     rig.mute.clear();
     rig.run(1_000);
     // As many, each by a way that others report by as well, are rather dead.
-    rig.mute = by_peer;
+    rig.mute = by_peer.clone();
     rig.run(9_000);
     assert_eq!(rig.returned.len(), 4);
+
+    // Those that a new leader has never heard from tell nothing about a way: a lease is enough.
+    let mut rig = Rig::new(16);
+    rig.mute = by_peer;
+    rig.run(13_000);
+    assert_eq!(rig.returned.len(), 4);
 }
 
 #[test]
--- a/src/core/leader/workers.rs
+++ b/src/core/leader/workers.rs
@@ -51,7 +51,7 @@
         }
         // Even a report that other news has overtaken renews the lease by being answered.
         m.last_report = now;
-        m.route = route;
+        m.route = Some(route);
         let token = FencingToken::new(self.term, m.fence);
         // The answer renews the lease, so it carries every stop, whatever else is under way: a worker
         // that lives on by it must not keep a cancelled task.
--- a/src/net/forwarding.rs
+++ b/src/net/forwarding.rs
@@ -18,6 +18,10 @@
 const BATCH_INTERVAL: Span = Span(100);
 /// A worker waits 4 s for an answer; the leader gets less, so that the worker still learns of a failure.
 const BATCH_LIMIT: Span = Span(1_800);
+/// A controller whose timers come this much late on average has no room for more workers.
+const STRAINED_LAG_MS: f64 = 200.0;
+/// The weight of the latest batch in that average.
+const LAG_WEIGHT: f64 = 0.2;
 /// Most reports that wait or are on their way, and most of their bytes; what is beyond is redirected.
 const MAX_WAITING: usize = 4_096;
 const MAX_WAITING_BYTES: usize = 4 << 20;
@@ -47,6 +51,8 @@
     proven: bool,
     waiting: Vec<WaitingReport>,
     waiting_bytes: usize,
+    /// By how much timers come late on average.
+    lag_ms: f64,
 }
 
 impl Forwarding {
@@ -75,6 +81,16 @@
         self.proven && has_room && self.destination(now).is_some()
     }
 
+    /// Whether more workers may be sent here.
+    pub fn has_capacity(&self, now: Mono) -> bool {
+        self.is_open(now) && self.lag_ms < STRAINED_LAG_MS
+    }
+
+    /// A timer has come that much late.
+    fn note_lag(&mut self, late: Span) {
+        self.lag_ms += LAG_WEIGHT * (late.0 as f64 - self.lag_ms);
+    }
+
     /// Takes a report in; none: it can't be passed on now.
     fn admit(&mut self, report: Bytes, now: Mono) -> Option<oneshot::Receiver<ReportDecision>> {
         if !self.is_open(now) {
@@ -126,10 +142,12 @@
 pub async fn run(node: Arc<Node>) {
     loop {
         node.report_waits.notified().await;
+        let due = node.now() + BATCH_INTERVAL;
         tokio::time::sleep(BATCH_INTERVAL.std()).await;
         let now = node.now();
         let (waiting, leader) = {
             let mut inner = node.lock();
+            inner.forwarding.note_lag(now - due);
             (inner.forwarding.take_waiting(), inner.forwarding.destination(now).cloned())
         };
         // Dropped unanswered, each worker is told to try elsewhere.
--- a/src/net/forwarding/tests.rs
+++ b/src/net/forwarding/tests.rs
@@ -45,6 +45,16 @@
     assert!(!forwarding.is_open(HEARD), "the one before has, late");
 }
 
+#[test]
+fn a_strained_controller_takes_no_more_workers_but_serves_those_it_has() {
+    let mut forwarding = open();
+    assert!(forwarding.has_capacity(HEARD));
+    (0..20).for_each(|_| forwarding.note_lag(Span(400)));
+    assert!(!forwarding.has_capacity(HEARD) && forwarding.is_open(HEARD));
+    (0..20).for_each(|_| forwarding.note_lag(Span(5)));
+    assert!(forwarding.has_capacity(HEARD));
+}
+
 #[test]
 fn what_waits_is_bounded_in_number_and_in_bytes() {
     let mut forwarding = open();
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -83,7 +83,7 @@
         answer.promise_ms = p.span.0;
         answer.cancelled = p.cancelled.iter().map(JobId::to_string).collect();
     }
-    answer.forwards = i.forwarding.is_open(now);
+    answer.forwards = i.forwarding.has_capacity(now);
     answer.leader = i.leader_name.clone().filter(|_| answer.state_ok).unwrap_or_default();
     Some(answer.encode_to_vec())
 }
--- a/src/net/reports.rs
+++ b/src/net/reports.rs
@@ -91,7 +91,7 @@
     /// The peer that should take a worker's reports from now on; none: it stays where it is.
     fn moved_to(&mut self, now: Mono, report: &Report, by: Option<&str>) -> Option<String> {
         let id = MachineId::parse(&report.machine)?;
-        if !self.leader.as_ref()?.is_confirmed(&id) {
+        if !self.leader.as_ref()?.may_move(now, &id) {
             return None;
         }
         self.offloading.better_peer(now, &report.zone, by)
