Workers are sent to peers that reach the leader where this controller does not

A controller that can't reach the leader asks its peers which of them can, and sends workers there; with none it names the leader as before, as connections between controllers alone may be refused.

--- a/src/main.rs
+++ b/src/main.rs
@@ -77,6 +77,7 @@
         tokio::spawn(net::leading::learn_types(node.clone()));
         tokio::spawn(net::election::run(node.clone()));
         tokio::spawn(net::forwarding::run(node.clone()));
+        tokio::spawn(net::detours::run(node.clone()));
         let sockets = node.settings.sockets();
         let users = net::server::serve(node.settings.listen, net::server::public(&node), sockets.public);
         let peers = net::server::serve(node.settings.peer_listen, net::server::internal(&node), sockets.peers);
--- /dev/null
+++ b/src/net/detours.rs
@@ -0,0 +1,63 @@
+//! Peers that reach the leader while this controller does not, as when two zones can't reach each other:
+//! workers that report here are sent to them. Naming the leader would only make those wait which are
+//! on this side of the cut.
+
+use super::node::Node;
+use super::peers;
+use crate::time::Span;
+use std::sync::Arc;
+use tokio::sync::Notify;
+
+/// Peers are asked this often while the leader can't be reached.
+const ASK_INTERVAL: Span = Span(1_000);
+const ASK_LIMIT: Span = Span(700);
+
+/// The peers that pass reports on to the leader, as of their last answers.
+#[derive(Default)]
+pub struct Detours {
+    peers: Vec<String>,
+    taken: usize,
+}
+
+impl Detours {
+    pub fn set(&mut self, peers: Vec<String>) {
+        self.peers = peers;
+    }
+
+    /// A peer to send a worker to; peers take turns.
+    pub fn take_turn(&mut self) -> Option<String> {
+        let peer = self.peers.get(self.taken.checked_rem(self.peers.len())?)?;
+        self.taken += 1;
+        Some(peer.clone())
+    }
+}
+
+/// Wakes the task that looks for detours.
+pub type LeaderLost = Notify;
+
+/// Looks for detours whenever another controller leads and can't be reached, for as long as the process
+/// runs.
+pub async fn run(node: Arc<Node>) {
+    loop {
+        let _ = tokio::time::timeout(ASK_INTERVAL.std(), node.leader_lost.notified()).await;
+        let names = if needs_detours(&node) { ask_peers(&node).await } else { Vec::new() };
+        node.lock().detours.set(names);
+    }
+}
+
+fn needs_detours(node: &Node) -> bool {
+    let now = node.now();
+    let inner = node.lock();
+    let another_leads = inner.leader_name.as_ref().is_some_and(|name| *name != node.settings.name);
+    another_leads && !inner.forwarding.is_open(now)
+}
+
+async fn ask_peers(node: &Arc<Node>) -> Vec<String> {
+    let answers = peers::ask_all(node, &peers::hello(node), ASK_LIMIT).await;
+    let answered = node.settings.peers.iter().zip(answers);
+    let forwards = answered.filter(|(_, answer)| answer.as_ref().is_some_and(|a| a.forwards));
+    forwards.map(|(peer, _)| peer.name.clone()).collect()
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/net/forwarding.rs
+++ b/src/net/forwarding.rs
@@ -164,6 +164,7 @@
     node.lock().forwarding.sent(leader.term, decisions.is_some());
     let Some(decisions) = decisions else {
         log::debug!("{} has not answered a batch of reports={}", leader.name, waiting.len());
+        node.leader_lost.notify_one();
         return;
     };
     for (waiting, decision) in waiting.into_iter().zip(decisions) {
--- a/src/net/loopback.rs
+++ b/src/net/loopback.rs
@@ -2,8 +2,8 @@
 
 use super::http::Http;
 use super::node::Node;
-use super::{election, forwarding, leading, server};
-use crate::config::{Settings, Tuning, sample_settings};
+use super::{detours, election, forwarding, leading, server};
+use crate::config::{Peer, Settings, Tuning, sample_settings};
 use crate::core::cancellations::Cancellations;
 use crate::core::leader::Action;
 use crate::core::leadership::{LEADER_KEY, SUCCESSOR_KEY};
@@ -223,6 +223,7 @@
     let c = Client { http: Http::new(16), addr: settings.listen.to_string() };
     let node = Node::new(settings, Tuning::default());
     tokio::spawn(forwarding::run(node.clone()));
+    tokio::spawn(detours::run(node.clone()));
     tokio::spawn(server::serve(node.settings.listen, server::public(&node), 64));
     (node, c)
 }
@@ -334,6 +335,17 @@
     let other_name = other.settings.name.clone();
     until(async || report(&at_leader).await == (421, json!({"steward": other_name}))).await;
 
+    // A controller that reaches the other alone sends workers there, as naming the leader is in vain.
+    let mut settings = sample_settings();
+    settings.name = "plinth-9".into();
+    settings.peers.truncate(2);
+    settings.peers[0] = Peer { addr: free_addr(), name: leader.settings.name.clone(), zone: String::new() };
+    settings.peers[1] = Peer { addr: other.settings.peer_listen, name: other_name.clone(), zone: String::new() };
+    let (third, at_third) = start(&world, settings);
+    tokio::time::sleep(Span(200).std()).await;
+    third.lock().leader_name = Some(leader.settings.name.clone());
+    until(async || report(&at_third).await == (421, json!({"steward": other_name}))).await;
+
     // Without a leader that acts there is no answer, and none is made up or remembered.
     leader.lock().leadership.lost_office();
     assert_eq!(report(&at_other).await, (421, json!({})));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! The edges: sockets and timers round the core.
 
 pub mod cloud;
+pub mod detours;
 pub mod election;
 pub mod forwarding;
 pub mod http;
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -1,6 +1,7 @@
 //! What the tasks of one controller share.
 
 use super::cloud::CloudClient;
+use super::detours::{Detours, LeaderLost};
 use super::forwarding::{Forwarding, ReportWaits};
 use super::http::Http;
 use super::offloading::Offloading;
@@ -31,6 +32,8 @@
     pub incarnation: u64,
     /// Says that a report waits to be passed on to the leader.
     pub report_waits: ReportWaits,
+    /// Says that the leader can't be reached any more.
+    pub leader_lost: LeaderLost,
     started: Instant,
     inner: Mutex<Inner>,
 }
@@ -62,6 +65,8 @@
     pub successor: Option<String>,
     /// Workers' reports on their way to the leader.
     pub forwarding: Forwarding,
+    /// While another leads and can't be reached: the peers that reach it.
+    pub detours: Detours,
     /// While leading: the peers that take workers' reports.
     pub offloading: Offloading,
     /// While leading: whether this controller is too slow for it.
@@ -156,6 +161,7 @@
             silent: HashSet::new(),
             successor: None,
             forwarding: Forwarding::default(),
+            detours: Detours::default(),
             offloading: Offloading::default(),
             overload: Overload::default(),
         };
@@ -168,6 +174,7 @@
             cloud,
             incarnation: rand::random::<u64>() >> 1,
             report_waits: ReportWaits::default(),
+            leader_lost: LeaderLost::default(),
             started: Instant::now(),
             inner: Mutex::new(inner),
         })
--- a/src/net/reports.rs
+++ b/src/net/reports.rs
@@ -102,6 +102,9 @@
 fn known_leader(node: &Node, report: &Report) -> Option<String> {
     let now = node.now();
     let mut inner = node.lock();
+    if let Some(peer) = inner.detours.take_turn() {
+        return Some(peer);
+    }
     // A worker that the leader doesn't hear would only wait there in vain. And a name read before the
     // state service fell silent may send it round in circles; peers may know.
     let known = if inner.refused_since.is_some() { &inner.leader_by_peers } else { &inner.leader_name };
