--- a/src/config.rs
+++ b/src/config.rs
@@ -146,6 +146,9 @@
                 return Err(format!("cluster.{name} must be above 0, not {x}"));
             }
         }
+        if c.limits.sockets < LEAST_SOCKETS {
+            return Err(format!("cluster.limits.fd_limit must be at least {LEAST_SOCKETS}, not {}", c.limits.sockets));
+        }
         if c.state.txn_ops < 4 {
             return Err("cluster.state.txn_ops must be at least 4".into());
         }
@@ -203,6 +206,9 @@
     }
 }
 
+/// With fewer there is none left for users and workers.
+const LEAST_SOCKETS: usize = 32;
+
 /// What the platform's limit on sockets is spent on. Each worker keeps one connection to the leader;
 /// orders go over connections of their own, which are few enough to leave the workers theirs.
 pub struct Sockets {
--- a/src/config/tests.rs
+++ b/src/config/tests.rs
@@ -8,6 +8,7 @@
         ("\"lease_s\": 10.0", "\"lease_s\": 29.0"),
         ("\"rps\": 100.0", "\"rps\": 0.0"),
         ("\"10.0.0.1:8080\"", "\"nowhere\""),
+        ("\"fd_limit\": 1000", "\"fd_limit\": 31"),
         ("\"team-b\"", "\"team-a\""),
         ("\"plinth-1\"", "\"plinth-0\""),
     ] {
--- a/src/net/loopback.rs
+++ b/src/net/loopback.rs
@@ -2,7 +2,7 @@
 
 use super::http::Http;
 use super::node::Node;
-use super::{detours, election, forwarding, leading, server};
+use super::{detours, election, forwarding, leading, peers, server};
 use crate::config::{Peer, Settings, Tuning, sample_settings};
 use crate::core::cancellations::Cancellations;
 use crate::core::leader::Action;
@@ -331,6 +331,12 @@
     until(async || report(&at_other).await.1["orders"].to_string().contains("stop")).await;
     assert_eq!(at_other.post("/v1/report", json!({"what": "is this"})).await.0, 400, "malformed wherever it arrives");
 
+    // So is what is no message of this version between controllers.
+    let peer = Client { http: Http::new(4), addr: other.settings.peer_listen.to_string() };
+    for path in [peers::HELLO, peers::PLAN, peers::REPORTS] {
+        assert_eq!(peer.post(path, json!("no message")).await.0, 400, "{path}");
+    }
+
     // The leader moves the worker to the other, which is there for that.
     let other_name = other.settings.name.clone();
     until(async || report(&at_leader).await == (421, json!({"steward": other_name}))).await;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! The edges: sockets and timers round the core.
 
+pub mod bad_messages;
 pub mod cloud;
 pub mod detours;
 pub mod election;
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -1,5 +1,6 @@
 //! What the tasks of one controller share.
 
+use super::bad_messages::BadMessages;
 use super::cloud::CloudClient;
 use super::detours::{Detours, LeaderLost};
 use super::forwarding::{Forwarding, ReportWaits};
@@ -65,6 +66,7 @@
     pub successor: Option<String>,
     /// Workers' reports on their way to the leader.
     pub forwarding: Forwarding,
+    pub bad_messages: BadMessages,
     /// While another leads and can't be reached: the peers that reach it.
     pub detours: Detours,
     /// While leading: the peers that take workers' reports.
@@ -161,6 +163,7 @@
             silent: HashSet::new(),
             successor: None,
             forwarding: Forwarding::default(),
+            bad_messages: BadMessages::default(),
             detours: Detours::default(),
             offloading: Offloading::default(),
             overload: Overload::default(),
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -81,7 +81,10 @@
                         let _ = res.write_body(answer);
                     }
                     None => {
-                        log::warn!("a peer's message can't be read or is of another version");
+                        let now = node.now();
+                        if let Some(count) = node.lock().bad_messages.note(now) {
+                            log::warn!("messages of peers that can't be read or are of another version: {count}");
+                        }
                         send(res, 400, json!({"error": "not a message of this version"}).to_string());
                     }
                 }
