--- a/src/core/leader/tests.rs
+++ b/src/core/leader/tests.rs
@@ -244,6 +244,19 @@
         }
     }
 
+    /// The first task that a worker lists completes.
+    fn finish_first_task(&mut self, name: &str) {
+        let report = self.workers.get_mut(name).expect("a worker of the rig");
+        let first = report.tasks[0].clone();
+        Rig::end(report, first.task, first.attempt, Cause::Done);
+    }
+
+    /// The first worker that holds something.
+    fn busy_worker(&self) -> String {
+        let busy = self.workers.iter().find(|(_, report)| !report.tasks.is_empty());
+        busy.map(|(name, _)| name.clone()).expect("some worker is busy")
+    }
+
     fn runs(&self, id: &JobId) -> usize {
         let of = |l: &&TaskReport| l.phase == TaskPhase::Running && l.task.is_some_and(|t| t.job == *id);
         self.workers.values().flat_map(|r| &r.tasks).filter(of).count()
@@ -347,7 +360,7 @@
     let id = rig.submit(200, spec("req-000001", Kind::Array, 1, 8.0));
     rig.run(1_000);
     assert_eq!(rig.runs(&id), 1, "ordered in the session that the first answer has told of");
-    let holds = rig.workers.iter().find(|(_, r)| !r.tasks.is_empty()).map(|(name, _)| name.clone()).unwrap();
+    let holds = rig.busy_worker();
     rig.mute.retain(|name| *name == holds);
     rig.run(8_500);
     assert_eq!(rig.runs(&id), 1, "the session may go on");
@@ -595,9 +608,7 @@
     rig.unanswered = Some(Vec::new());
     let id = rig.submit(200, spec("req-000001", Kind::Array, 2, 1.0));
     rig.run(1_000);
-    let r = rig.workers.get_mut("w0").unwrap();
-    let listed = r.tasks[0].clone();
-    Rig::end(r, listed.task, listed.attempt, Cause::Done);
+    rig.finish_first_task("w0");
     rig.run(4_000);
     let lost = rig.unanswered.take().unwrap();
     assert_eq!(lost.len(), 1, "nothing more is written while an older write may come late");
@@ -634,7 +645,7 @@
     let full = rig.submit(200, team_a(spec("req-000001", Kind::Array, 4, 8.0)));
     rig.run(3_000);
     assert_eq!(rig.runs(&full), 4);
-    let held = rig.workers.iter().find(|(_, r)| !r.tasks.is_empty()).map(|(n, _)| n.clone()).unwrap();
+    let held = rig.busy_worker();
     rig.mute.insert(held.clone());
     rig.succeed();
     // Cancelled in that spell: what it held on the silent machine counts on.
@@ -660,7 +671,7 @@
     let sent: BTreeMap<String, Report> = rig.workers.clone();
     rig.run(3_000);
     assert_eq!(rig.runs(&id), 2);
-    let name = rig.workers.iter().find(|(_, r)| !r.tasks.is_empty()).map(|(n, _)| n.clone()).unwrap();
+    let name = rig.busy_worker();
     let held = sent[&name].clone();
     rig.mute.insert(name.clone());
     rig.succeed();
@@ -720,12 +731,7 @@
     rig.run(2_000);
     let id = rig.submit(200, spec("req-000001", Kind::Array, 2, 8.0));
     rig.run(3_000);
-    let end = |rig: &mut Rig, name: &str| {
-        let r = rig.workers.get_mut(name).unwrap();
-        let listed = r.tasks[0].clone();
-        Rig::end(r, listed.task, listed.attempt, Cause::Done);
-    };
-    end(&mut rig, "w0");
+    rig.finish_first_task("w0");
     rig.run(4_000);
     assert!(rig.workers["w0"].tasks.is_empty(), "cleared, as it is durably done");
     rig.succeed();
@@ -733,7 +739,7 @@
     let over = format!("over/{id}");
     assert!(rig.runs(&id) == 1 && rig.workers["w0"].tasks.is_empty(), "not started again");
     assert!(!rig.store.contains_key(&over));
-    end(&mut rig, "w1");
+    rig.finish_first_task("w1");
     rig.run(1_000);
     assert_eq!(rig.store[&over].0["phase"], "done");
     // An old list, from when the first task ran: a copy of a job that is over.
@@ -748,7 +754,7 @@
     let id = rig.submit(200, spec("req-000001", Kind::Array, 2, 8.0));
     rig.run(3_000);
     rig.cloud_down = true;
-    let mute = rig.workers.iter().find(|(_, r)| !r.tasks.is_empty()).map(|(n, _)| n.clone()).unwrap();
+    let mute = rig.busy_worker();
     rig.mute.insert(mute.clone());
     rig.run(9_000);
     assert_eq!(rig.runs(&id), 2, "it may run on, so nothing is started anew");
@@ -768,9 +774,7 @@
     let id = rig.submit(200, spec("req-000001", Kind::Array, 1, 1.0));
     rig.run(2_000);
     rig.unanswered = Some(Vec::new());
-    let r = rig.workers.get_mut("w0").unwrap();
-    let listed = r.tasks[0].clone();
-    Rig::end(r, listed.task, listed.attempt, Cause::Done);
+    rig.finish_first_task("w0");
     rig.run(1_000);
     // The job's own key guards the end, so that it can't be declared over a cancellation, however late.
     let end = &rig.unanswered.as_ref().unwrap()[0];
--- a/src/net/election.rs
+++ b/src/net/election.rs
@@ -77,10 +77,10 @@
     heard_peers(&mut node.lock(), &answers);
 }
 
-fn heard_peers(i: &mut Inner, answers: &[Option<HelloAnswer>]) {
-    i.peer_has_state = answers.iter().flatten().any(|a| a.state_ok);
-    i.alone = !answers.is_empty() && answers.iter().all(Option::is_none);
-    i.leader_by_peers = answers.iter().flatten().map(|a| a.leader.clone()).find(|l| !l.is_empty());
+fn heard_peers(inner: &mut Inner, answers: &[Option<HelloAnswer>]) {
+    inner.peer_has_state = answers.iter().flatten().any(|a| a.state_ok);
+    inner.alone = !answers.is_empty() && answers.iter().all(Option::is_none);
+    inner.leader_by_peers = answers.iter().flatten().map(|a| a.leader.clone()).find(|l| !l.is_empty());
 }
 
 async fn bid(node: &Arc<Node>) -> Option<(Office, LeaderRecord)> {
@@ -89,12 +89,12 @@
     let record = LeaderRecord { node: node.settings.name.clone(), incarnation: node.incarnation, lease };
     {
         let now = node.now();
-        let mut i = node.lock();
+        let mut inner = node.lock();
         // A promise may have been given since.
-        if !i.leadership.may_run(now, false) {
+        if !inner.leadership.may_run(now, false) {
             return None;
         }
-        i.leadership.bid_sent();
+        inner.leadership.bid_sent();
     }
     let txn = Txn {
         guards: vec![Guard { path: LEADER_KEY.into(), revision: 0 }],
@@ -126,12 +126,12 @@
             }
         }
     }
-    let mut i = node.lock();
-    i.leadership.bid_settled();
+    let mut inner = node.lock();
+    inner.leadership.bid_settled();
     let term = term?;
-    i.leadership.took_office(term, lease, asked_at);
-    i.leader_name = Some(node.settings.name.clone());
-    Some((i.leadership.office()?, record))
+    inner.leadership.took_office(term, lease, asked_at);
+    inner.leader_name = Some(node.settings.name.clone());
+    Some((inner.leadership.office()?, record))
 }
 
 /// Renews the lease until it is lost.
@@ -146,10 +146,10 @@
         let renewed = node.served(node.state.renew(&node.http, office.lease, Span(900))).await;
         match renewed {
             Ok(true) => {
-                let mut i = node.lock();
-                i.leadership.renewed(asked_at);
+                let mut inner = node.lock();
+                inner.leadership.renewed(asked_at);
                 promised = false;
-                doubt(&mut i, false);
+                doubt(&mut inner, false);
             }
             Ok(false) => break,
             Err(e) => {
@@ -176,11 +176,11 @@
         tokio::time::sleep(pause.std()).await;
     }
     warn!("office lost: term={}", office.term);
-    let mut i = node.lock();
-    i.leadership.lost_office();
-    i.leader = None;
-    i.leader_name = None;
-    drop(i);
+    let mut inner = node.lock();
+    inner.leadership.lost_office();
+    inner.leader = None;
+    inner.leader_name = None;
+    drop(inner);
     work.abort();
 }
 
@@ -188,11 +188,11 @@
 async fn hand_over(node: &Arc<Node>, office: Office, successor: String) {
     let guard = {
         let now = node.now();
-        let mut i = node.lock();
-        i.leadership.lost_office();
-        i.leadership.yield_office(now);
-        i.leader_name = None;
-        i.leader.take().map_or(Revision(office.term.0), |l| l.guard())
+        let mut inner = node.lock();
+        inner.leadership.lost_office();
+        inner.leadership.yield_office(now);
+        inner.leader_name = None;
+        inner.leader.take().map_or(Revision(office.term.0), |l| l.guard())
     };
     let mut hello = peers::hello(node);
     hello.successor = successor;
@@ -225,8 +225,8 @@
 }
 
 /// Starts wait while it isn't known what users have been told meanwhile.
-fn doubt(i: &mut Inner, in_doubt: bool) {
-    if let Some(l) = &mut i.leader {
+fn doubt(inner: &mut Inner, in_doubt: bool) {
+    if let Some(l) = &mut inner.leader {
         l.set_in_doubt(in_doubt);
     }
 }
@@ -247,9 +247,9 @@
         Some((Span(a.promise_ms), peers::jobs(&a.cancelled)?))
     };
     let promises: Vec<_> = answers.iter().map(promised).collect();
-    let mut i = node.lock();
-    heard_peers(&mut i, &answers);
-    let Some(l) = &mut i.leader else { return false };
+    let mut inner = node.lock();
+    heard_peers(&mut inner, &answers);
+    let Some(l) = &mut inner.leader else { return false };
     for (_, cancelled) in promises.iter().flatten() {
         cancelled.iter().for_each(|id| l.on_over(id));
     }
@@ -257,9 +257,9 @@
     let shortest = promises.iter().map(|p| p.as_ref().map_or(Span(0), |p| p.0)).min().unwrap_or_default();
     let promised = shortest > Span(0);
     if promised {
-        i.leadership.all_promised(asked_at, shortest);
+        inner.leadership.all_promised(asked_at, shortest);
     }
-    drop(i);
+    drop(inner);
     leading::feed(node, |_| ());
     promised
 }
--- a/src/net/leading.rs
+++ b/src/net/leading.rs
@@ -9,7 +9,7 @@
 use crate::core::leader::{Action, CommitResult, Leader, OrdersResult, RentResult, Stored, TICK};
 use crate::core::leadership::{LEADER_KEY, LeaderRecord, should_hand_over};
 use crate::core::shares::SHARES_KEY;
-use crate::ids::{JobId, Revision, Term};
+use crate::ids::{JobId, MachineId, Revision, Term};
 use crate::peer::HelloAnswer;
 use crate::time::{Mono, Span};
 use crate::wire::{Change, DirectOrders, Guard, LogEntry, MachineType, Report, Txn};
@@ -84,12 +84,12 @@
     leader.load(now, stored);
     {
         let now = node.now();
-        let mut i = node.lock();
-        if i.leadership.office().is_none_or(|o| o.term != term) {
+        let mut inner = node.lock();
+        if inner.leadership.office().is_none_or(|o| o.term != term) {
             return;
         }
-        i.leadership.read(asked_at, now, Revision(epoch));
-        i.leader = Some(leader);
+        inner.leadership.read(asked_at, now, Revision(epoch));
+        inner.leader = Some(leader);
     }
     tokio::join!(tick(&node, term), follow(&node, term, epoch), watch_cloud(&node, term), tell_peers(&node, term));
 }
@@ -107,9 +107,9 @@
 pub fn feed<T>(node: &Arc<Node>, f: impl FnOnce(&mut Leader) -> T) -> Option<T> {
     let now = node.now();
     let (x, term, actions) = {
-        let mut i = node.lock();
-        let term = i.leadership.acting(now)?;
-        let leader = i.leader.as_mut()?;
+        let mut inner = node.lock();
+        let term = inner.leadership.acting(now)?;
+        let leader = inner.leader.as_mut()?;
         let x = f(leader);
         (x, term, leader.take_actions())
     };
@@ -164,7 +164,7 @@
             inform(&node, |leader, now| leader.on_rented(now, &request.name, result));
         }
         Action::Return(ids) => {
-            let names = ids.iter().map(|i| i.to_string()).collect();
+            let names = ids.iter().map(MachineId::to_string).collect();
             let returned = acting && node.cloud.give_back(&node.http, now, names).await;
             inform(&node, |leader, now| leader.on_returned(now, &ids, returned));
         }
@@ -223,9 +223,9 @@
             Ok(Some(log)) => {
                 since = since.max(log.epoch);
                 let now = node.now();
-                let mut i = node.lock();
-                i.leadership.read(asked_at, now, Revision(since));
-                let Some(l) = &mut i.leader else { continue };
+                let mut inner = node.lock();
+                inner.leadership.read(asked_at, now, Revision(since));
+                let Some(l) = &mut inner.leader else { continue };
                 for e in log.log {
                     let (key, value) = match e {
                         LogEntry::Write { write, value, revision } => (write, Some((value, revision))),
@@ -244,10 +244,10 @@
                     Ok((rows, epoch)) => {
                         since = epoch;
                         let now = node.now();
-                        let mut i = node.lock();
-                        if let Some(l) = &mut i.leader {
+                        let mut inner = node.lock();
+                        if let Some(l) = &mut inner.leader {
                             l.reload_live(rows, epoch);
-                            i.leadership.read(asked_at, now, Revision(epoch));
+                            inner.leadership.read(asked_at, now, Revision(epoch));
                         }
                     }
                     Err(_) => tokio::time::sleep(Span(300).std()).await,
@@ -274,8 +274,8 @@
         if rounds % 8 == 1
             && let Some(types) = node.cloud.types(&node.http, node.now()).await
         {
-            let mut i = node.lock();
-            if let Some(l) = &mut i.leader {
+            let mut inner = node.lock();
+            if let Some(l) = &mut inner.leader {
                 l.set_types(types);
             }
         }
@@ -293,13 +293,13 @@
         hello.term = term.0;
         let mut machines = 0;
         {
-            let mut i = node.lock();
+            let mut inner = node.lock();
             let now = node.now();
-            if let Some(l) = &i.leader {
+            if let Some(l) = &inner.leader {
                 hello.counts = l.counts();
                 (hello.silent, machines) = l.silent_machines(now);
             }
-            i.take_counts(&hello.counts);
+            inner.take_counts(&hello.counts);
         }
         let answers = peers::ask_all(node, &hello, Span(800)).await;
         note_forwarding(node, &answers);
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -206,21 +206,21 @@
     /// Anything but 503 and silence is being served.
     pub fn heard_state<T>(&self, r: &Result<T, StateError>) {
         let now = self.now();
-        let mut i = self.lock();
+        let mut inner = self.lock();
         match r {
             Err(StateError::Refused | StateError::Unknown(_)) => {
-                i.leadership.state_refused();
-                i.refused_since.get_or_insert(now);
+                inner.leadership.state_refused();
+                inner.refused_since.get_or_insert(now);
                 if matches!(r, Err(StateError::Unknown(_))) {
-                    i.state_silent_since.get_or_insert(now);
+                    inner.state_silent_since.get_or_insert(now);
                 } else {
-                    i.state_silent_since = None;
+                    inner.state_silent_since = None;
                 }
             }
             _ => {
-                i.leadership.state_answered();
-                i.refused_since = None;
-                i.state_silent_since = None;
+                inner.leadership.state_answered();
+                inner.refused_since = None;
+                inner.state_silent_since = None;
             }
         }
     }
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -61,30 +61,31 @@
         leading::feed(node, |l| cancelled.iter().for_each(|id| l.on_over(id)));
     }
     let now = node.now();
-    let mut inner = node.lock();
-    let i = &mut *inner;
-    let misdirected = i.misdirected_among(&hello.silent, now);
+    let mut guard = node.lock();
+    let inner = &mut *guard;
+    let misdirected = inner.misdirected_among(&hello.silent, now);
     if hello.leading && !hello.hold_on {
-        i.silent = hello.silent.into_iter().collect();
-        i.take_counts(&hello.counts);
-        i.forwarding.heard_leader(&hello.from, Term(hello.term), now);
-        if !i.forwarding.is_proven() && i.leadership.acting(now).is_none() {
+        inner.silent = hello.silent.into_iter().collect();
+        inner.take_counts(&hello.counts);
+        inner.forwarding.heard_leader(&hello.from, Term(hello.term), now);
+        if !inner.forwarding.is_proven() && inner.leadership.acting(now).is_none() {
             node.report_waits.notify_one();
         }
     }
     if !hello.successor.is_empty() && hello.successor != node.settings.name {
-        i.leadership.yield_office(now);
+        inner.leadership.yield_office(now);
     }
     let mut answer =
-        HelloAnswer { version: VERSION, misdirected, state_ok: !i.leadership.is_refused(), ..Default::default() };
+        HelloAnswer { version: VERSION, misdirected, state_ok: !inner.leadership.is_refused(), ..Default::default() };
     if hello.hold_on
-        && let Some(p) = i.leadership.promise_to(now, Term(hello.term), Revision(hello.read_to), &i.cancellations)
+        && let Some(p) =
+            inner.leadership.promise_to(now, Term(hello.term), Revision(hello.read_to), &inner.cancellations)
     {
         answer.promise_ms = p.span.0;
         answer.cancelled = p.cancelled.iter().map(JobId::to_string).collect();
     }
-    answer.forwards = i.forwarding.has_capacity(now);
-    answer.leader = i.leader_name.clone().filter(|_| answer.state_ok).unwrap_or_default();
+    answer.forwards = inner.forwarding.has_capacity(now);
+    answer.leader = inner.leader_name.clone().filter(|_| answer.state_ok).unwrap_or_default();
     Some(answer.encode_to_vec())
 }
 
@@ -98,6 +99,6 @@
 
 /// Plans for a leader. It decides nothing: the leader checks every placement.
 pub fn plan(body: &[u8]) -> Option<Vec<u8>> {
-    let input = PlanInput::decode(body).ok().filter(|i| i.version == VERSION)?;
+    let input = PlanInput::decode(body).ok().filter(|input| input.version == VERSION)?;
     Some(miser::plan(&input).encode_to_vec())
 }
--- a/src/net/users.rs
+++ b/src/net/users.rs
@@ -71,12 +71,12 @@
 /// A user is about to be told how a job has ended. A leader must act on what it tells, even where its
 /// watch is late, and a leader that can't read it is told by promise.
 fn note_over(node: &Node, id: &JobId, record: OverRecord, revision: Revision) {
-    let mut i = node.lock();
-    i.finals.put(id, record);
+    let mut inner = node.lock();
+    inner.finals.put(id, record);
     if record.phase == JobPhase::Aborted {
-        i.cancellations.tell(*id, revision);
+        inner.cancellations.tell(*id, revision);
     }
-    if let Some(l) = &mut i.leader {
+    if let Some(l) = &mut inner.leader {
         l.on_over(id);
     }
 }
@@ -94,8 +94,8 @@
 }
 
 fn live_reply(node: &Node, id: &JobId) -> Reply {
-    let i = node.lock();
-    let count = i.counts.get(id);
+    let inner = node.lock();
+    let count = inner.counts.get(id);
     let (done, running) = count.map_or((0, 0), |c| (c.done, c.running));
     let phase = if running > 0 { JobPhase::Running } else { JobPhase::Queued };
     Reply::job(200, id, phase, Some(done), Some(running))
@@ -106,11 +106,11 @@
 
 impl Admission<'_> {
     fn new(node: &Node) -> Option<Admission<'_>> {
-        let mut i = node.lock();
-        if i.user_requests >= node.tuning.user_requests as usize {
+        let mut inner = node.lock();
+        if inner.user_requests >= node.tuning.user_requests as usize {
             return None;
         }
-        i.user_requests += 1;
+        inner.user_requests += 1;
         Some(Admission(node))
     }
 }
@@ -242,10 +242,10 @@
 /// Whether the load balancer should send users here.
 pub fn healthy(node: &Node) -> bool {
     let now = node.now();
-    let i = node.lock();
+    let inner = node.lock();
     // Refused alone, others serve users better; refused like all, nothing is gained by hiding.
-    let refused = i.refused_since.is_some_and(|t| now - t > Span(1_500)) && i.peer_has_state;
+    let refused = inner.refused_since.is_some_and(|t| now - t > Span(1_500)) && inner.peer_has_state;
     // So does one that hears neither the state service nor any peer.
-    let cut_off = i.state_silent_since.is_some_and(|t| now - t > Span(1_500)) && i.alone;
-    i.types.is_some() && !refused && !cut_off
+    let cut_off = inner.state_silent_since.is_some_and(|t| now - t > Span(1_500)) && inner.alone;
+    inner.types.is_some() && !refused && !cut_off
 }
