--- a/src/core/leader/machines.rs
+++ b/src/core/leader/machines.rs
@@ -15,6 +15,11 @@
     routes: BTreeSet<Option<Route>>,
 }
 
+/// Whether so many of the machines that are up are in trouble that the machines themselves are hardly its cause.
+fn many(count: usize, up: usize) -> bool {
+    count > 2 && count * 3 > up
+}
+
 impl Leader {
     pub fn tick(&mut self, now: Mono, wall: Wall) {
         self.note_lag(now);
@@ -101,7 +106,7 @@
         let unacknowledged_after = self.p.lease;
         let is_unacknowledged = |m: &Machine| m.unacknowledged_since.is_some_and(|t| now - t > unacknowledged_after);
         let deaf = self.machines.values().filter(|m| is_unacknowledged(m)).count();
-        self.many_unacknowledged = deaf > 2 && deaf * 3 > up;
+        self.many_unacknowledged = many(deaf, up);
         let many_unacknowledged = self.many_unacknowledged;
         let lease = self.p.lease;
         let mut returns: Vec<MachineId> = Vec::new();
@@ -173,15 +178,14 @@
             *up += usize::from(m.up);
             *silent += usize::from(now - m.last_report > quiet);
         }
-        let many = |up: usize, silent: usize| silent > 2 && silent * 3 > up;
         let up = counts.values().map(|(up, _)| up).sum();
         let silent = counts.values().map(|(_, silent)| silent).sum();
         // Machines that were never heard from tell nothing about a way.
         let on_route = |(route, (up, silent)): (&Option<Route>, &(usize, usize))| {
-            (route.is_some() && many(*up, *silent)).then_some(*route)
+            (route.is_some() && many(*silent, *up)).then_some(*route)
         };
         let routes = counts.iter().filter_map(on_route).collect();
-        ManySilent { everywhere: many(up, silent), routes }
+        ManySilent { everywhere: many(silent, up), routes }
     }
 
     /// Long enough in office that workers which can find this leader have done so. Before that,
--- a/src/net/detours.rs
+++ b/src/net/detours.rs
@@ -54,8 +54,7 @@
 
 async fn ask_peers(node: &Arc<Node>) -> Vec<String> {
     let answers = peers::ask_all(node, &peers::hello(node), ASK_LIMIT).await;
-    let answered = node.settings.peers.iter().zip(answers);
-    let forwards = answered.filter(|(_, answer)| answer.as_ref().is_some_and(|a| a.forwards));
+    let forwards = peers::answered(node, &answers).filter(|(_, answer)| answer.forwards);
     forwards.map(|(peer, _)| peer.name.clone()).collect()
 }
 
--- a/src/net/leading.rs
+++ b/src/net/leading.rs
@@ -317,9 +317,8 @@
     let mut inner = node.lock();
     let Some(leader) = inner.leader.as_ref().filter(|leader| leader.settled(now)) else { return };
     let lag = leader.lag();
-    let able = |answer: &Option<HelloAnswer>| answer.as_ref().is_some_and(|a| a.state_ok && a.forwards);
-    let able: Vec<&Peer> =
-        node.settings.peers.iter().zip(answers).filter(|(_, answer)| able(answer)).map(|(peer, _)| peer).collect();
+    let able = peers::answered(node, answers).filter(|(_, answer)| answer.state_ok && answer.forwards);
+    let able: Vec<&Peer> = able.map(|(peer, _)| peer).collect();
     let Some(peer) = able.choose(&mut rand::rng()) else { return };
     if inner.overload.note(now, lag) {
         warn!("handing over: ticks are late by {} ms, successor={}", lag.0, peer.name);
@@ -329,9 +328,8 @@
 
 /// Notes which peers can pass workers' reports on.
 fn note_forwarding(node: &Node, answers: &[Option<HelloAnswer>]) {
-    let forwards = |answer: &Option<HelloAnswer>| answer.as_ref().is_some_and(|a| a.forwards);
-    let peers = node.settings.peers.iter().zip(answers).filter(|(_, answer)| forwards(answer));
-    let peers = peers.map(|(peer, _)| peer.clone()).collect();
+    let forwards = peers::answered(node, answers).filter(|(_, answer)| answer.forwards);
+    let peers = forwards.map(|(peer, _)| peer.clone()).collect();
     node.lock().offloading.set_peers(peers);
 }
 
@@ -345,8 +343,7 @@
     // Workers go round the controllers, so no single peer hears all of them at once.
     let mut misdirected: BTreeSet<&str> = BTreeSet::new();
     let mut successor: Option<(usize, &str)> = None;
-    for (peer, a) in node.settings.peers.iter().zip(answers) {
-        let Some(a) = a else { continue };
+    for (peer, a) in peers::answered(node, answers) {
         l.peer_answered(now, &peer.name);
         misdirected.extend(a.misdirected.iter().map(String::as_str));
         if a.state_ok {
--- a/src/net/offloading.rs
+++ b/src/net/offloading.rs
@@ -24,7 +24,7 @@
 
     /// The peer that a worker of a zone should be moved to now, if any; peers take turns. `by` is the peer
     /// that has passed its report on; none: the worker has reported to the leader itself.
-    pub fn better_peer(&mut self, now: Mono, zone: &str, by: Option<&str>) -> Option<String> {
+    pub fn better_peer(&self, now: Mono, zone: &str, by: Option<&str>) -> Option<&str> {
         if now < self.not_before {
             return None;
         }
@@ -34,10 +34,13 @@
         if stays || candidates.is_empty() {
             return None;
         }
-        let peer = candidates[self.moves % candidates.len()].name.clone();
+        Some(&candidates[self.moves % candidates.len()].name)
+    }
+
+    /// A worker has been moved.
+    pub fn moved(&mut self, now: Mono) {
         self.moves += 1;
         self.not_before = now + MOVE_INTERVAL;
-        Some(peer)
     }
 }
 
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -2,6 +2,7 @@
 
 use super::leading;
 use super::node::Node;
+use crate::config::Peer;
 use crate::core::miser;
 use crate::ids::{JobId, Revision, Term};
 use crate::peer::{Hello, HelloAnswer, PlanInput, PlanOutput, VERSION};
@@ -34,6 +35,14 @@
     answers
 }
 
+/// The peers that have answered, each with its answer.
+pub fn answered<'a>(
+    node: &'a Node,
+    answers: &'a [Option<HelloAnswer>],
+) -> impl Iterator<Item = (&'a Peer, &'a HelloAnswer)> {
+    node.settings.peers.iter().zip(answers).filter_map(|(peer, answer)| Some((peer, answer.as_ref()?)))
+}
+
 pub fn hello(node: &Node) -> Hello {
     Hello { version: VERSION, from: node.settings.name.clone(), ..Default::default() }
 }
--- a/src/net/reports.rs
+++ b/src/net/reports.rs
@@ -90,11 +90,14 @@
 impl Inner {
     /// The peer that should take a worker's reports from now on; none: it stays where it is.
     fn moved_to(&mut self, now: Mono, report: &Report, by: Option<&str>) -> Option<String> {
+        // First, as most workers are where they should be.
+        let peer = self.offloading.better_peer(now, &report.zone, by)?.to_string();
         let id = MachineId::parse(&report.machine)?;
         if !self.leader.as_ref()?.may_move(now, &id) {
             return None;
         }
-        self.offloading.better_peer(now, &report.zone, by)
+        self.offloading.moved(now);
+        Some(peer)
     }
 }
 
