--- a/benches/core.rs
+++ b/benches/core.rs
@@ -8,9 +8,9 @@
 use hdrhistogram::Histogram;
 use std::time::Instant;
 use wallstile::config::{Settings, Tuning};
-use wallstile::core::jobs::{LiveRecord, live_key};
 use wallstile::core::leader::{Action, CommitResult, Leader, OrdersResult, RentResult, TICK};
 use wallstile::core::leadership::LeaderRecord;
+use wallstile::core::records::{LiveRecord, live_key};
 use wallstile::ids::{JobId, LeaseId, Revision, Term};
 use wallstile::time::{Mono, Wall};
 
@@ -44,7 +44,7 @@
             epoch += 1;
             let s = job(jobs);
             let id = JobId::parse(&s.id).expect("a legal id");
-            let record = serde_json::json!(LiveRecord { at: Wall(now), spec: s });
+            let record = serde_json::json!(LiveRecord { at: Wall(now), spec: s, awaits: Vec::new() });
             assert!(live_key(&id).len() < 200);
             leader.on_live(&id, &record, Revision(epoch));
         }
@@ -83,7 +83,7 @@
                         at = Instant::now();
                         leader.on_rented(Mono(now), &r.name, RentResult::NoCapacity);
                     }
-                    Action::Return(_) | Action::Plan { .. } | Action::Reguard(_) => continue,
+                    Action::Return(_) | Action::Plan { .. } | Action::Reguard(_) | Action::LookUp(_) => continue,
                 }
                 answers.record(at.elapsed().as_nanos() as u64).expect("it grows as needed");
             }
--- a/src/config.rs
+++ b/src/config.rs
@@ -3,7 +3,7 @@
 use crate::time::Span;
 use quick_xml::Reader;
 use quick_xml::events::Event;
-use serde::Deserialize;
+use serde::{Deserialize, Deserializer};
 use std::net::SocketAddr;
 
 #[derive(Debug, thiserror::Error)]
@@ -61,6 +61,11 @@
     1.0
 }
 
+/// What may be null may equally be omitted.
+fn none_as_default<'de, D: Deserializer<'de>, T: Deserialize<'de> + Default>(d: D) -> Result<T, D::Error> {
+    Ok(Option::deserialize(d)?.unwrap_or_default())
+}
+
 #[derive(Clone, Debug, Deserialize)]
 pub struct Workers {
     pub report_s: f64,
@@ -74,6 +79,41 @@
     pub write_rps: f64,
     pub value_kb: f64,
     pub txn_ops: usize,
+    /// Limits that will be in force from some moment on, without notice.
+    #[serde(default, deserialize_with = "none_as_default")]
+    pub next: LaterLimits,
+}
+
+/// Limits of the state service that change; those that aren't named stay.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+pub struct LaterLimits {
+    #[serde(default)]
+    pub rps: Option<f64>,
+    #[serde(default)]
+    pub write_rps: Option<f64>,
+    #[serde(default)]
+    pub value_kb: Option<f64>,
+    #[serde(default)]
+    pub txn_ops: Option<usize>,
+}
+
+impl StateLimits {
+    /// What holds both now and later: whatever is written within these limits is taken at any time.
+    pub fn lowest(&self) -> StateLimits {
+        let lower = |now: f64, later: Option<f64>| later.map_or(now, |later| now.min(later));
+        StateLimits {
+            rps: lower(self.rps, self.next.rps),
+            write_rps: lower(self.write_rps, self.next.write_rps),
+            value_kb: lower(self.value_kb, self.next.value_kb),
+            txn_ops: self.next.txn_ops.map_or(self.txn_ops, |later| self.txn_ops.min(later)),
+            next: LaterLimits::default(),
+        }
+    }
+
+    /// The most bytes that a value may have, now and later.
+    pub fn value_bytes(&self) -> usize {
+        (self.lowest().value_kb * 1024.0) as usize
+    }
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -130,14 +170,15 @@
 
     fn check(&self) -> Result<(), String> {
         let c = &self.cluster;
+        let state = c.state.lowest();
         let positive = [
             ("workers.report_s", c.workers.report_s),
             ("workers.lease_s", c.workers.lease_s),
             ("workers.cancel_s", c.workers.cancel_s),
-            ("state.rps", c.state.rps),
-            ("state.write_rps", c.state.write_rps),
-            ("state.value_kb", c.state.value_kb),
-            ("state.txn_ops", c.state.txn_ops as f64),
+            ("state.rps", state.rps),
+            ("state.write_rps", state.write_rps),
+            ("state.value_kb", state.value_kb),
+            ("state.txn_ops", state.txn_ops as f64),
             ("cloud.rps", c.cloud.rps),
             ("limits.fd_limit", c.limits.sockets as f64),
         ];
@@ -149,8 +190,8 @@
         if c.limits.sockets < LEAST_SOCKETS {
             return Err(format!("cluster.limits.fd_limit must be at least {LEAST_SOCKETS}, not {}", c.limits.sockets));
         }
-        if c.state.txn_ops < 4 {
-            return Err("cluster.state.txn_ops must be at least 4".into());
+        if state.txn_ops < LEAST_CHANGES {
+            return Err(format!("cluster.state.txn_ops must be at least {LEAST_CHANGES}, now and in next"));
         }
         if c.workers.cancel_s <= c.workers.lease_s + self.state_ttl().as_secs() + 2.0 {
             return Err("cluster.workers.cancel_s leaves no room for lease_s and a change of leader".into());
@@ -187,25 +228,49 @@
 }
 
 impl Settings {
-    /// When a job should end, in seconds since its submission, by the first of its class's aims
-    /// that it can still meet, and how many it has missed.
-    pub fn goal(&self, class: &str, deadline_s: Option<f64>, age_s: f64, run_s: f64) -> (Option<f64>, u32) {
+    /// In how many seconds a job should end by each of its class's aims. Deadlines count from the
+    /// submission, all else from when the job could start.
+    pub fn goals(&self, class: &str, deadline_s: Option<f64>, ages: Ages, run_s: f64) -> Vec<f64> {
         let of = |o: &Objective| match o.kind.as_str() {
-            "finished" => Some(o.within_s),
+            "finished" => Some(o.within_s - ages.startable_s),
             // An aim on starting is one on finishing, a run later.
-            "wait" => Some(o.within_s + run_s),
-            "deadline" => deadline_s.map(|d| d * o.times),
+            "wait" => Some(o.within_s + run_s - ages.startable_s),
             _ => None,
         };
-        let mut goals: Vec<f64> =
-            self.cluster.objectives.iter().filter(|o| o.class == class).filter_map(of).chain(deadline_s).collect();
-        goals.sort_by(f64::total_cmp);
-        goals.dedup();
-        let missed = goals.iter().filter(|g| **g < age_s + run_s).count();
-        (goals.get(missed).copied(), missed as u32)
+        let mut goals: Vec<f64> = self.objectives_of(class).filter_map(of).collect();
+        goals.extend(self.deadlines(class, deadline_s, ages.submitted_s));
+        goals
     }
+
+    /// Seconds left until the deadline of a job, and until each multiple of it that its class has an aim for.
+    pub fn deadlines(&self, class: &str, deadline_s: Option<f64>, submitted_s: f64) -> Vec<f64> {
+        let Some(deadline_s) = deadline_s else { return Vec::new() };
+        let aims = self.objectives_of(class).filter(|o| o.kind == "deadline").map(|o| deadline_s * o.times);
+        aims.chain([deadline_s]).map(|due_s| due_s - submitted_s).collect()
+    }
+
+    fn objectives_of(&self, class: &str) -> impl Iterator<Item = &Objective> {
+        self.cluster.objectives.iter().filter(move |o| o.class == class)
+    }
+}
+
+/// The first of several goals, in seconds from now, that a job can still meet, and how many it has missed.
+pub fn next_goal(mut goals: Vec<f64>, run_s: f64) -> (Option<f64>, u32) {
+    goals.sort_by(f64::total_cmp);
+    goals.dedup();
+    let missed = goals.iter().filter(|goal| **goal < run_s).count();
+    (goals.get(missed).copied(), missed as u32)
+}
+
+/// Seconds since a job was submitted, and since no job that it awaits was left.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ages {
+    pub submitted_s: f64,
+    pub startable_s: f64,
 }
 
+/// The most changes that any one step of a controller needs in a transaction, with some to spare.
+const LEAST_CHANGES: usize = 4;
 /// With fewer there is none left for users and workers.
 const LEAST_SOCKETS: usize = 32;
 
--- a/src/config/tests.rs
+++ b/src/config/tests.rs
@@ -36,12 +36,32 @@
         |kind: &str, within_s: f64, times: f64| Objective { kind: kind.into(), class: "x".into(), within_s, times };
     s.cluster.objectives = vec![aim("deadline", 0.0, 1.5), aim("wait", 30.0, 1.0), aim("finished", 200.0, 1.0)];
     // A run of 20 s: the aim on starting ends at 50, the deadline at 60 and at 90, then 200.
-    let goal = |age| s.goal("x", Some(60.0), age, 20.0);
-    assert_eq!(goal(0.0), (Some(50.0), 0));
-    assert_eq!(goal(35.0), (Some(60.0), 1));
-    assert_eq!(goal(65.0), (Some(90.0), 2));
+    let ages = |submitted_s, startable_s| Ages { submitted_s, startable_s };
+    let next = |goals| next_goal(goals, 20.0);
+    let goal = |age| next(s.goals("x", Some(60.0), ages(age, age), 20.0));
+    assert_eq!(goal(0.0), (Some(50.0 - 0.0), 0));
+    assert_eq!(goal(35.0), (Some(60.0 - 35.0), 1));
+    assert_eq!(goal(65.0), (Some(90.0 - 65.0), 2));
     assert_eq!(goal(190.0), (None, 4));
-    assert_eq!(s.goal("other", None, 5.0, 20.0), (None, 0));
+    // One that has awaited others for 30 s: only its deadlines are nearer.
+    assert_eq!(next(s.goals("x", Some(60.0), ages(35.0, 5.0), 20.0)), (Some(25.0), 0));
+    assert_eq!(next(s.goals("x", Some(60.0), ages(45.0, 15.0), 20.0)), (Some(35.0), 1));
+    assert_eq!(next(s.goals("other", None, ages(5.0, 5.0), 20.0)), (None, 0));
+}
+
+#[test]
+fn limits_that_come_later_hold_from_the_beginning() {
+    let good = include_str!("../../tests/settings.json");
+    let with =
+        |next: &str| Settings::parse(&good.replace("\"txn_ops\": 12", &format!("\"txn_ops\": 12, \"next\": {next}")));
+    let limits = with(r#"{"write_rps": 15.0, "value_kb": 2.0, "txn_ops": 4}"#).unwrap().cluster.state;
+    let lowest = limits.lowest();
+    assert_eq!((lowest.rps, lowest.write_rps, lowest.value_kb, lowest.txn_ops), (100.0, 15.0, 2.0, 4));
+    // What is stored was laid out by the limits of today.
+    assert_eq!((limits.value_kb, limits.value_bytes()), (8.0, 2_048));
+    assert_eq!(with(r#"{"value_kb": 64.0}"#).unwrap().cluster.state.lowest().value_kb, 8.0);
+    assert!(with("null").is_ok() && with("{}").is_ok());
+    assert!(with(r#"{"txn_ops": 3}"#).is_err() && with(r#"{"write_rps": 0.0}"#).is_err());
 }
 
 #[test]
--- /dev/null
+++ b/src/core/leader/awaited.rs
@@ -0,0 +1,89 @@
+//! Jobs that await others: when they may start, when they are cancelled with one that they need, and what
+//! they hand on to the jobs before them.
+
+use super::planner_view::wall_age;
+use super::*;
+
+/// Most jobs that the state service is asked about at once.
+const MOST_LOOKED_UP: usize = 16;
+/// Jobs whose ending is still not known are asked about again after this long.
+const LOOK_UP_AGAIN: Span = Span(500);
+
+impl Leader {
+    /// What the end of a job means to those that await it.
+    pub(super) fn settle_successors(&mut self, id: &JobId, ending: Ending) {
+        for successor in self.pipelines.ended(id, ending) {
+            let Some(job) = self.jobs.get_mut(&successor) else { continue };
+            job.awaits.remove(id);
+            if let Ending::Done(Some(at)) = ending {
+                job.startable_at = job.startable_at.max(at);
+            }
+            self.dirty = true;
+        }
+    }
+
+    /// Has the state service asked how awaited jobs have ended.
+    pub(super) fn look_up_awaited(&mut self, now: Mono) {
+        if self.looking_up || now < self.look_up_at {
+            return;
+        }
+        let ids = self.pipelines.next_unresolved(MOST_LOOKED_UP);
+        if !ids.is_empty() {
+            self.looking_up = true;
+            self.actions.push(Action::LookUp(ids));
+        }
+    }
+
+    /// What the state service holds of jobs that were to be looked up; those that aren't over are left out.
+    pub fn on_looked_up(&mut self, now: Mono, endings: &[(JobId, Ending)]) {
+        self.looking_up = false;
+        if endings.is_empty() {
+            self.look_up_at = now + LOOK_UP_AGAIN;
+        }
+        for (id, ending) in endings {
+            self.on_over(id, *ending);
+        }
+    }
+
+    /// Takes over priorities, deadlines and ranks from the jobs that need a job.
+    pub(super) fn inherit(&mut self, wall: Wall) {
+        let mut inherited = self.pipelines.inherit(|id| self.stage(wall, id));
+        for (id, job) in &mut self.jobs {
+            job.inherited = inherited.remove(id);
+            let priority = job.priority();
+            for (index, machine, attempt) in job.places() {
+                let key = (TaskId { job: *id, index }, attempt);
+                if let Some(slot) = self.machines.get_mut(machine).and_then(|m| m.slots.get_mut(&key)) {
+                    slot.priority = priority;
+                }
+            }
+        }
+    }
+
+    fn stage(&self, wall: Wall, id: &JobId) -> Option<Stage> {
+        let job = self.jobs.get(id)?;
+        let spec = &job.spec;
+        let run_s = self.times.expect(&spec.class, spec.estimate_s);
+        let ages = job_ages(wall, job);
+        Some(Stage {
+            priority: spec.priority,
+            due_s: spec.deadline_s.map(|due_s| due_s - ages.submitted_s),
+            goals: self.settings.deadlines(&spec.class, spec.deadline_s, ages.submitted_s),
+            run_s,
+            transfer_s: spec.image_gb / self.mean_fetch_rate(spec),
+        })
+    }
+
+    /// The mean rate at which the machine types open to a job fetch images, in GB per second.
+    fn mean_fetch_rate(&self, spec: &JobSpec) -> f64 {
+        let rates = self.types.iter().filter(|t| submissions::type_allows(spec, t)).map(|t| t.fetch_gb_per_s);
+        let (count, sum) = rates.fold((0.0, 0.0), |(count, sum), rate| (count + 1.0, sum + rate));
+        if sum > 0.0 { sum / count } else { 1.0 }
+    }
+}
+
+/// How old a job is, for its deadline and for its other aims, which count from when it could start.
+pub(super) fn job_ages(wall: Wall, job: &Job) -> Ages {
+    let startable_s = if job.is_waiting() { 0.0 } else { wall_age(wall, job.startable_at) };
+    Ages { submitted_s: wall_age(wall, job.submitted), startable_s }
+}
--- a/src/core/leader/machines.rs
+++ b/src/core/leader/machines.rs
@@ -28,7 +28,8 @@
             self.expire(now);
             self.look_after_machines(now);
         }
-        self.write(now);
+        self.look_up_awaited(now);
+        self.write(now, wall);
         // Rounds are the bulk of the work: where ticks come late, rounds come seldom, and each
         // decides more.
         let due = Span((self.tuning.round_ms + 6.0 * self.lag_ms).min(MAX_ROUND_MS) as u64);
--- a/src/core/leader/mod.rs
+++ b/src/core/leader/mod.rs
@@ -2,6 +2,7 @@
 //! to send to workers, cloud and state service. A state machine: the edges feed it inputs and
 //! carry out the actions it leaves behind.
 
+mod awaited;
 mod gpu_demand;
 mod machines;
 mod planner_view;
@@ -16,18 +17,19 @@
 use self::gpu_demand::GpuDemand;
 use self::planner_view::PlannerView;
 use self::reservations::Reservations;
-use crate::config::{Settings, Team, Tuning};
+use crate::config::{Ages, Settings, Team, Tuning, next_goal};
+use crate::core::done_sets::{self, Layout};
 use crate::core::fleet::{
     AVOIDED_FOR, Amount, Commission, FLEET, FleetRecord, Machine, Route, Sent, Slot, SlotKey, fleet_key,
 };
-use crate::core::jobs::{
-    self, BITS, ClassTimes, GangRun, Job, LIVE, LiveRecord, OverRecord, chunk_tasks, decode_bits, encode_bits,
-    live_key, over_key, priority_number,
-};
+use crate::core::jobs::{ClassTimes, GangRun, Job, priority_number};
 use crate::core::leadership::{LEADER_KEY, LeaderRecord};
 use crate::core::miser;
+use crate::core::pipelines::{Pipelines, Stage};
+use crate::core::records::{Ending, LIVE, LiveRecord, OverRecord, live_key, over_key};
 use crate::core::rentals::{Market, Rentals, Request};
 use crate::core::shares::{SHARES_KEY, Shares};
+use crate::core::submissions;
 use crate::ids::{Attempt, FencingToken, JobId, MAX_FENCE, MachineId, Revision, Sequence, TaskId, Term};
 use crate::peer::{
     ImageView, JobCount, JobView, MachineView, Offer, PlanInput, PlanOutput, TeamLeft, TypeView, VERSION, Wish,
@@ -35,8 +37,8 @@
 };
 use crate::time::{Mono, Span, Wall};
 use crate::wire::{
-    Cause, Change, DirectOrders, Guard, JobPhase, JobSpec, Kind, ListPhase, ListedMachine, MachineType, Order,
-    Priority, RentRequest, Report, ReportAnswer, Row, TaskPhase, TaskReport, Txn,
+    Cause, Change, DirectOrders, Guard, JobSpec, Kind, ListPhase, ListedMachine, MachineType, Order, Priority,
+    RentRequest, Report, ReportAnswer, Row, TaskPhase, TaskReport, Txn,
 };
 use fixedbitset::FixedBitSet;
 use log::{debug, info, warn};
@@ -45,6 +47,8 @@
 use std::sync::Arc;
 
 const MAX_OVER: usize = 1024;
+/// What the leader takes of the state service's rate of changes.
+const SHARE_OF_WRITES: f64 = 0.6;
 
 /// What the edges must do for the leader.
 #[derive(Clone, Debug, PartialEq)]
@@ -62,6 +66,8 @@
     Reguard(Txn),
     Rent(RentRequest),
     Return(Vec<MachineId>),
+    /// Reads how these jobs have ended.
+    LookUp(Vec<JobId>),
     /// Has a peer plan for its share.
     Plan {
         node: String,
@@ -99,8 +105,9 @@
 
 enum Purpose {
     Fleet { commission: Vec<MachineId>, forget: Vec<MachineId> },
-    Bits(Vec<(JobId, FixedBitSet)>),
-    Finish(JobId),
+    DoneSets(Vec<(JobId, FixedBitSet)>),
+    Finish(JobId, Wall),
+    Cancel(Vec<JobId>),
     Shares,
     Tidy(Vec<String>),
 }
@@ -109,8 +116,9 @@
     report: Span,
     lease: Span,
     txn_ops: usize,
+    value_bytes: usize,
     write_rps: f64,
-    chunk: u32,
+    layout: Layout,
     list_lag: Span,
 }
 
@@ -134,6 +142,10 @@
     zones: Vec<String>,
     images: HashMap<String, u32>,
     jobs: BTreeMap<JobId, Job>,
+    pipelines: Pipelines,
+    /// The state service is being asked how awaited jobs have ended; otherwise it isn't before then.
+    looking_up: bool,
+    look_up_at: Mono,
     /// The latest jobs that are over.
     over: VecDeque<JobId>,
     machines: BTreeMap<MachineId, Machine>,
@@ -259,13 +271,15 @@
                 zones.push(z.clone());
             }
         }
+        let limits = c.state.lowest();
         let p = Params {
             report: Span::secs(c.workers.report_s),
             lease: Span::secs(c.workers.lease_s),
-            txn_ops: c.state.txn_ops,
+            txn_ops: limits.txn_ops,
+            value_bytes: c.state.value_bytes(),
             // The rest is for submissions and cancellations on all controllers.
-            write_rps: c.state.write_rps * 0.6,
-            chunk: chunk_tasks(c.state.value_kb),
+            write_rps: limits.write_rps * SHARE_OF_WRITES,
+            layout: Layout::new(&c.state),
             list_lag: Span::secs(c.cloud.list_lag_s),
         };
         let team_names: Vec<String> = c.teams.iter().map(|t| t.name.clone()).collect();
@@ -288,6 +302,9 @@
             zones,
             images: HashMap::new(),
             jobs: BTreeMap::new(),
+            pipelines: Pipelines::default(),
+            looking_up: false,
+            look_up_at: now,
             over: VecDeque::new(),
             machines: BTreeMap::new(),
             gone: BTreeSet::new(),
@@ -389,11 +406,10 @@
             }
         }
         for row in stored.bits {
-            let rest = row.path.strip_prefix(BITS).unwrap_or_default();
-            let parsed = rest.split_once('/').and_then(|(j, c)| Some((JobId::parse(j)?, c.parse::<u32>().ok()?)));
-            match parsed.and_then(|(id, c)| Some((self.jobs.get_mut(&id)?, c))) {
-                Some((job, chunk)) => {
-                    if !decode_bits(&mut job.durable, chunk, self.p.chunk, &row.value) {
+            let parsed = done_sets::parse_key(&row.path);
+            match parsed.and_then(|(id, number)| Some((self.jobs.get_mut(&id)?, number))) {
+                Some((job, number)) => {
+                    if !self.p.layout.read(&mut job.durable, number, &row.value) {
                         warn!("state: {} can't be read", row.path);
                     }
                     let done: Vec<usize> = job.durable.ones().collect();
@@ -454,12 +470,15 @@
         };
         let s = &record.spec;
         if s.gpus > 0.0 {
-            for (t, need) in self.types.iter().zip(&mut self.gpu_needs).filter(|(t, _)| jobs::type_allows(s, t)) {
+            for (t, need) in self.types.iter().zip(&mut self.gpu_needs).filter(|(t, _)| submissions::type_allows(s, t))
+            {
                 need.cpus = need.cpus.max(s.cpus).min(t.cpus);
                 need.memory_gb = need.memory_gb.max(s.memory_gb).min(t.memory_gb);
             }
         }
-        self.jobs.insert(*id, Job::new(record, revision, team as u32));
+        let job = Job::new(record, revision, team as u32);
+        self.pipelines.add(*id, &job.awaits, |awaited| self.jobs.contains_key(awaited));
+        self.jobs.insert(*id, job);
         self.dirty = true;
     }
 
@@ -475,27 +494,26 @@
         let gone = |(id, j): &(&JobId, &Job)| !listed.contains(*id) && j.revision.0 <= epoch;
         let over: Vec<JobId> = self.jobs.iter().filter(gone).map(|(id, _)| *id).collect();
         for id in over {
-            self.on_over(&id);
+            self.on_over(&id, Ending::Unknown);
         }
+        self.pipelines.recheck(|id| self.jobs.contains_key(id));
     }
 
     /// The job is over: done, or cancelled by its user. Whatever of it is on machines must go.
-    pub fn on_over(&mut self, id: &JobId) {
+    pub fn on_over(&mut self, id: &JobId, ending: Ending) {
         if !self.over.contains(id) {
             self.over.push_back(*id);
             if self.over.len() > MAX_OVER {
                 self.over.pop_front();
             }
         }
+        self.settle_successors(id, ending);
         let Some(job) = self.jobs.remove(id) else { return };
         self.dirty = true;
-        for c in 0..job.spec.tasks.div_ceil(self.p.chunk) {
-            let from = (c * self.p.chunk) as usize;
-            let to = job.durable.len().min(from + self.p.chunk as usize);
-            if job.durable.ones().any(|i| (from..to).contains(&i)) {
-                self.orphaned_sets.push(format!("{BITS}{id}/{c}"));
-            }
-        }
+        self.pipelines.remove(id, &job.awaits);
+        let rows = self.p.layout.rows(job.spec.tasks);
+        let stored = rows.iter().filter(|row| row.members(&job.durable).next().is_some());
+        self.orphaned_sets.extend(stored.map(|row| row.key(id)));
         for (index, machine, attempt) in job.places() {
             if let Some(m) = self.machines.get_mut(machine) {
                 stop_slot(m, &(TaskId { job: *id, index }, attempt), 0.0);
--- a/src/core/leader/planner_view.rs
+++ b/src/core/leader/planner_view.rs
@@ -1,6 +1,7 @@
 //! What planners are told of a round: the machines with room, the jobs that wait and what may be rented, and
 //! how this is dealt out among several planners.
 
+use super::awaited::job_ages;
 use super::*;
 
 /// Planners are told the ages of machines in steps of this.
@@ -70,7 +71,7 @@
     pub(super) fn planner_view(&mut self, now: Mono, wall: Wall) -> PlannerView {
         self.usage = None;
         self.unaccounted = self.unaccounted && self.machines.values().any(|m| !m.accounted);
-        let waits = |j: &Job| !j.ready.is_empty() && j.pause_until <= now && !j.finishing && !self.held_back(j);
+        let waits = |j: &Job| j.startable_tasks() > 0 && j.pause_until <= now && !j.finishing && !self.held_back(j);
         let waiting: BTreeSet<JobId> = self.jobs.iter().filter(|(_, j)| waits(j)).map(|(id, _)| *id).collect();
         self.lend(now, &waiting);
         let mut machines = self.machine_views(now, self.least_need(&waiting));
@@ -221,7 +222,8 @@
 
     /// Seconds that so many processors need for all that waits.
     fn drain_s(&self, cpus_up: f64) -> f64 {
-        let work = |j: &Job| j.ready.len() as f64 * j.spec.cpus * self.times.expect(&j.spec.class, j.spec.estimate_s);
+        let work =
+            |j: &Job| j.startable_tasks() as f64 * j.spec.cpus * self.times.expect(&j.spec.class, j.spec.estimate_s);
         let backlog: f64 = self.jobs.values().map(work).sum();
         if cpus_up > 0.0 { backlog / cpus_up } else { f64::INFINITY }
     }
@@ -271,7 +273,8 @@
         let spec = &job.spec;
         let service = spec.kind == Kind::Service;
         let guaranteed = context.guaranteed.contains(id);
-        let age_s = wall_age(context.wall, job.submitted);
+        let ages = job_ages(context.wall, job);
+        let age_s = ages.startable_s;
         let run_s = match service {
             true => self.tuning.service_horizon_s,
             false => self.times.expect(&spec.class, spec.estimate_s).max(0.1),
@@ -279,11 +282,15 @@
         // An aim on starting that can still be met is a deadline too.
         let aim = self.settings.start_aim(&spec.class, guaranteed);
         let aim = aim.filter(|aim| *aim > age_s).map(|aim| aim - age_s + run_s);
-        let (goal, missed) = self.settings.goal(&spec.class, spec.deadline_s, age_s, run_s);
+        let mut goals = self.settings.goals(&spec.class, spec.deadline_s, ages, run_s);
+        goals.extend(job.inherited.iter().flat_map(|inherited| &inherited.goals));
+        let (goal_s, missed) = next_goal(goals, run_s);
+        let due_s = spec.deadline_s.map(|due_s| due_s - ages.submitted_s);
+        let inherited_due_s = job.inherited.as_ref().and_then(|inherited| inherited.due_s);
         let at_fault = job.at_fault(context.now);
         JobView {
             team: job.team,
-            priority: priority_number(spec.priority),
+            priority: priority_number(job.priority()),
             gang: spec.kind == Kind::Gang,
             tasks: spec.tasks,
             cpus: spec.cpus,
@@ -297,8 +304,9 @@
             spot: spec.spot,
             new_spot: spec.spot && !job.no_new_spot,
             run_s,
-            due_s: spec.deadline_s.map(|due| due - age_s).into_iter().chain(aim).reduce(f64::min),
-            goal_s: goal.map(|goal| goal - age_s),
+            due_s: due_s.into_iter().chain(aim).chain(inherited_due_s).reduce(f64::min),
+            goal_s,
+            successors_s: job.inherited.as_ref().map_or(0.0, |inherited| inherited.rank_s),
             missed: if service { 0 } else { missed },
             service,
             age_s,
@@ -306,7 +314,7 @@
             placed: zone_counts(job, &self.machines),
             avoid: if at_fault { Vec::new() } else { avoided(job, context) },
             guaranteed,
-            may_rent: !at_fault && (spec.priority <= Priority::High || context.drain_s > RENT_BEYOND_S),
+            may_rent: !at_fault && (job.priority() <= Priority::High || context.drain_s > RENT_BEYOND_S),
             ..Default::default()
         }
     }
@@ -343,7 +351,7 @@
     /// Jobs that fit into their team's guarantee together with the team's earlier ones.
     fn guaranteed(&self) -> BTreeSet<JobId> {
         let mut by_team: BTreeMap<u32, Vec<(&JobId, &Job)>> = BTreeMap::new();
-        for (id, j) in &self.jobs {
+        for (id, j) in self.jobs.iter().filter(|(_, j)| !j.is_waiting()) {
             by_team.entry(j.team).or_default().push((id, j));
         }
         let mut set = BTreeSet::new();
@@ -352,7 +360,7 @@
             if t.cpus <= 0.0 && t.gpus <= 0.0 {
                 continue;
             }
-            jobs.sort_by_key(|(id, j)| (j.submitted, *(*id)));
+            jobs.sort_by_key(|(id, j)| (j.startable_at, *(*id)));
             let (mut cpus, mut gpus) = (0.0, 0.0);
             for (id, j) in jobs {
                 let n = f64::from(j.spec.tasks);
--- a/src/core/leader/room.rs
+++ b/src/core/leader/room.rs
@@ -69,7 +69,7 @@
             }
         }
         let jobs = waiting.iter().filter_map(|id| self.jobs.get(id));
-        let awaited: f64 = jobs.map(|j| j.ready.len() as f64 * j.spec.gpus).sum();
+        let awaited: f64 = jobs.map(|j| j.startable_tasks() as f64 * j.spec.gpus).sum();
         let mut unwanted = self.gpu_demand.update(now, there, &in_use, awaited);
         idle.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(b.1)));
         let lent = idle.into_iter().filter(|(_, _, m)| unwanted.take(m.zone, self.types[m.kind].gpus));
@@ -94,14 +94,14 @@
         if self.types[m.kind].gpus <= 0.0 || s.gpus > 0.0 || s.kind == Kind::Service {
             return true;
         }
-        let part = if s.priority <= Priority::High { self.spare(m) } else { self.rest(m, self.lent.contains(id)) };
+        let part = if j.priority() <= Priority::High { self.spare(m) } else { self.rest(m, self.lent.contains(id)) };
         part.cpus + 1e-6 >= s.cpus && part.memory_gb + 1e-6 >= s.memory_gb
     }
 
     /// Moves replicas off machines that do nothing else, onto machines that are busy anyway, so
     /// that the former can go back. One at a time, and only while nothing waits.
     pub(super) fn consolidate(&mut self, now: Mono) {
-        if now < self.move_at || self.jobs.values().any(|j| !j.ready.is_empty()) || !self.reservations.is_empty() {
+        if now < self.move_at || self.jobs.values().any(|j| j.startable_tasks() > 0) || !self.reservations.is_empty() {
             return;
         }
         self.move_at = now + Span(1_000);
@@ -138,7 +138,7 @@
                         && (share(m) > share(source) || self.types[source.kind].gpus > 0.0)
                         && m.image_ready(slot.image, now) == Some(0.0)
                         && m.free(t).holds(&slot.need)
-                        && jobs::type_allows(spec, t)
+                        && submissions::type_allows(spec, t)
                         && spec.zone.as_ref().is_none_or(|z| *z == self.zones[m.zone as usize])
                         && miser::zone_allowed(spec.spread, spec.one_zone, spec.tasks, &zones, m.zone)
                 };
@@ -203,7 +203,7 @@
         let Some(j) = self.jobs.get(id) else { return false };
         let spec = &j.spec;
         let need = Amount::of_task(spec);
-        let priority = priority_number(spec.priority);
+        let priority = priority_number(j.priority());
         let guaranteed = self.within_guarantee.contains(id);
         let image = self.images.get(&spec.image).copied().unwrap_or(u32::MAX);
         // What is placed, and what room is being made for.
@@ -291,7 +291,7 @@
     fn suits(&self, now: Mono, j: &Job, id: &MachineId, m: &Machine) -> bool {
         let s = &j.spec;
         m.usable(now, self.quiet())
-            && jobs::type_allows(s, &self.types[m.kind])
+            && submissions::type_allows(s, &self.types[m.kind])
             && s.zone.as_ref().is_none_or(|z| *z == self.zones[m.zone as usize])
             && (s.spot || !m.spot)
             && !j.avoids(id, now)
@@ -304,13 +304,13 @@
     pub(super) fn gather(&mut self, now: Mono, wall: Wall) {
         let waits = |j: &Job| {
             j.spec.kind == Kind::Gang
-                && j.spec.tasks as usize == j.ready.len()
+                && j.spec.tasks as usize == j.startable_tasks()
                 && j.placed.is_empty()
                 && j.gang.is_none()
                 && j.pause_until <= now
                 && !j.at_fault(now)
                 && !self.held_back(j)
-                && wall_age(wall, j.submitted) >= self.tuning.gather_s
+                && wall_age(wall, j.startable_at) >= self.tuning.gather_s
         };
         // Of a class only the largest, down to half of the most: smaller ones find room anyway.
         let mut most: BTreeMap<&str, u32> = BTreeMap::new();
@@ -319,7 +319,7 @@
             *m = j.spec.tasks.max(*m);
         }
         let large = |j: &Job| most.get(&*j.spec.class).is_some_and(|m| j.spec.tasks.saturating_mul(2) >= *m);
-        let size = |j: &Job| (j.spec.priority, std::cmp::Reverse(j.spec.tasks), j.submitted);
+        let size = |j: &Job| (j.priority(), std::cmp::Reverse(j.spec.tasks), j.submitted);
         let mut waiting: Vec<_> =
             self.jobs.iter().filter(|(_, j)| waits(j) && large(j)).map(|(id, j)| (size(j), *id)).collect();
         waiting.sort();
@@ -349,7 +349,7 @@
             soon: u32,
             most: u32,
         }
-        let priority = priority_number(j.spec.priority);
+        let priority = priority_number(j.priority());
         let mut zones: BTreeMap<u32, Zone> = BTreeMap::new();
         for (mid, m) in self.machines.iter().filter(|(mid, m)| self.suits(now, j, mid, m)) {
             let t = &self.types[m.kind];
--- a/src/core/leader/rounds.rs
+++ b/src/core/leader/rounds.rs
@@ -11,6 +11,7 @@
         self.rounds += 1;
         // First, or the round would give away what has just become free.
         self.gather(now, wall);
+        self.inherit(wall);
         let view = self.planner_view(now, wall);
         // The leader's own part has no name.
         let mut parts: BTreeMap<Option<String>, Vec<u32>> = BTreeMap::from([(None, Vec::new())]);
@@ -150,7 +151,7 @@
         let aim = self.settings.start_aim(&j.spec.class, v.guaranteed);
         // A replica that is lost later is as urgent as a first one.
         let age_s = if j.spec.kind == Kind::Service { 0.0 } else { v.age_s };
-        j.spec.priority <= Priority::High && aim.is_some_and(|aim| age_s < aim && age_s + fetch_s > aim)
+        j.priority() <= Priority::High && aim.is_some_and(|aim| age_s < aim && age_s + fetch_s > aim)
     }
 
     pub(super) fn next_attempt(&mut self) -> Attempt {
@@ -164,7 +165,7 @@
         let s = &j.spec;
         let could_hold = |m: &Machine| {
             !m.accounted
-                && jobs::type_allows(s, &self.types[m.kind])
+                && submissions::type_allows(s, &self.types[m.kind])
                 && s.zone.as_ref().is_none_or(|z| *z == self.zones[m.zone as usize])
                 && (s.spot || !m.spot)
         };
@@ -185,10 +186,11 @@
         let placed = zone_counts(j, &self.machines);
         let team = j.team;
         !self.in_doubt
+            && !j.is_waiting()
             && m.usable(now, self.quiet())
             && !self.held_back(j)
             && free.holds(&need)
-            && jobs::type_allows(s, t)
+            && submissions::type_allows(s, t)
             && s.zone.as_ref().is_none_or(|z| z == zone)
             && (s.spot || !m.spot)
             && miser::zone_allowed(s.spread, s.one_zone, s.tasks, &placed, m.zone)
@@ -279,7 +281,7 @@
         let slot = Slot {
             need: Amount::of_task(s),
             team: Some(j.team),
-            priority: s.priority,
+            priority: j.priority(),
             phase: None,
             sent: None,
             listed: 0,
--- a/src/core/leader/tests.rs
+++ b/src/core/leader/tests.rs
@@ -1,8 +1,11 @@
 //! Single situations, played against a leader with workers that answer at once.
 
+mod pipelines;
+
 use super::planner_view::deal;
 use super::*;
 use crate::config::sample_settings;
+use crate::core::records::BITS;
 use crate::ids::{LeaseId, Sequence, Session};
 use crate::wire::JobSpec;
 use serde_json::json;
@@ -117,8 +120,14 @@
     }
 
     fn submit(&mut self, revision: u64, s: JobSpec) -> JobId {
+        self.submit_after(revision, s, &[])
+    }
+
+    /// A job that awaits others.
+    fn submit_after(&mut self, revision: u64, s: JobSpec, awaits: &[JobId]) -> JobId {
+        let awaits = awaits.to_vec();
         let id = JobId::parse(&s.id).unwrap();
-        let record = json!(LiveRecord { at: Wall(self.now), spec: s });
+        let record = json!(LiveRecord { at: Wall(self.now), spec: s, awaits });
         self.leader.on_live(&id, &record, Revision(revision));
         self.store.insert(live_key(&id), (record, revision));
         id
@@ -129,6 +138,12 @@
         self.store.remove(&live_key(id));
     }
 
+    /// How the state service says that a job has ended.
+    fn ending(&self, id: &JobId) -> Option<Ending> {
+        let (record, _) = self.store.get(&over_key(id))?;
+        Some(serde_json::from_value::<OverRecord>(record.clone()).unwrap().ending())
+    }
+
     fn commit(&mut self, txn: Txn) {
         for c in &txn.apply {
             match c {
@@ -238,6 +253,10 @@
                         self.returned.extend(ids.iter().map(|i| i.to_string()));
                         self.leader.on_returned(now, &ids, !self.cloud_down);
                     }
+                    Action::LookUp(ids) => {
+                        let endings: Vec<_> = ids.iter().filter_map(|id| Some((*id, self.ending(id)?))).collect();
+                        self.leader.on_looked_up(now, &endings);
+                    }
                     Action::Plan { .. } => {}
                 }
             }
@@ -527,7 +546,7 @@
     let mut s = spec("req-000001", Kind::Gang, 3, 1.0);
     s.gpus = l.types[gpu].gpus;
     let id = JobId::parse(&s.id).unwrap();
-    l.on_live(&id, &json!(LiveRecord { at: Wall(0), spec: s }), Revision(1));
+    l.on_live(&id, &json!(LiveRecord { at: Wall(0), spec: s, awaits: Vec::new() }), Revision(1));
     let waiting = BTreeSet::from([id]);
     assert_eq!(lent(&mut l, Mono(100), &waiting), 1);
     assert_eq!(lent(&mut l, Mono(1_000), &BTreeSet::new()), 1, "not forgotten at once");
@@ -563,7 +582,7 @@
     rig.mute.clear();
     rig.run(1_000);
     assert!(rig.returned.contains("m-000000"), "given up, but the cloud doesn't say that it is gone");
-    rig.leader.on_over(&id);
+    rig.leader.on_over(&id, Ending::Cancelled);
     rig.run(1_000);
     assert_eq!(rig.runs(&id), 0);
 }
@@ -584,7 +603,7 @@
         ordered |= rig.leader.take_actions().iter().any(|a| matches!(a, Action::Orders { .. }));
     }
     assert!(ordered);
-    rig.leader.on_over(&id);
+    rig.leader.on_over(&id, Ending::Cancelled);
     rig.report("w0");
     assert_eq!(rig.runs(&id), 0);
     // Lost with its answer, the stop is said again in the next.
@@ -650,7 +669,7 @@
     rig.succeed();
     // Cancelled in that spell: what it held on the silent machine counts on.
     rig.cancel(&full);
-    rig.leader.on_over(&full);
+    rig.leader.on_over(&full, Ending::Cancelled);
     let term = rig.term.0;
     let next = rig.submit(term + 1, team_a(spec("req-000002", Kind::Array, 5, 8.0)));
     rig.run(8_000);
@@ -781,7 +800,7 @@
     let guard = end.guards.iter().find(|g| g.path == live_key(&id)).unwrap();
     assert_eq!(guard.revision, 200);
     rig.cancel(&id);
-    rig.leader.on_over(&id);
+    rig.leader.on_over(&id, Ending::Cancelled);
     rig.unanswered = None;
     rig.run(3_000);
     assert!(rig.workers["w0"].tasks.is_empty(), "nothing is kept of it");
--- a/src/core/leader/workers.rs
+++ b/src/core/leader/workers.rs
@@ -289,7 +289,7 @@
             let s = &job.spec;
             slot.need = Amount::of_task(s);
             slot.team = Some(job.team);
-            slot.priority = s.priority;
+            slot.priority = job.priority();
             slot.run_s = self.times.expect(&s.class, s.estimate_s);
             let next = self.images.len() as u32;
             slot.image = *self.images.entry(s.image.clone()).or_insert(next);
--- a/src/core/leader/writes.rs
+++ b/src/core/leader/writes.rs
@@ -2,6 +2,16 @@
 
 use super::*;
 
+/// Most transactions under way at once.
+const MAX_COMMITS: usize = 6;
+/// Changes that the end of a job takes.
+const CHANGES_OF_AN_ENDING: usize = 2;
+
+/// Moves a job from those that are live to those that are over.
+fn ending_changes(id: &JobId, record: &OverRecord) -> [Change; CHANGES_OF_AN_ENDING] {
+    [Change::drop(live_key(id)), Change::write(over_key(id), serde_json::json!(record))]
+}
+
 impl Leader {
     pub(super) fn own_guard(&self) -> Guard {
         Guard { path: LEADER_KEY.into(), revision: self.guard.0 }
@@ -15,114 +25,174 @@
     }
 
     /// Writes what must be durable, most urgent first, within the share of writes.
-    pub(super) fn write(&mut self, now: Mono) {
+    pub(super) fn write(&mut self, now: Mono, wall: Wall) {
         let dt = (now - self.tokens_at).as_secs();
         self.tokens = (self.tokens + dt * self.p.write_rps).min(self.p.write_rps);
         self.tokens_at = now;
-        if now < self.commit_pause || self.commits.len() >= 6 {
+        if now < self.commit_pause || self.commits.len() >= MAX_COMMITS {
             return;
         }
         if self.reguard != Reguard::No {
-            if self.reguard == Reguard::Due && self.tokens >= 1.0 {
-                self.reguard = Reguard::UnderWay;
-                self.tokens -= 1.0;
-                let value = serde_json::json!(self.record);
-                let write = Change::Write { write: LEADER_KEY.into(), value, tenure: Some(self.record.lease.0) };
-                self.actions.push(Action::Reguard(Txn { guards: vec![self.own_guard()], apply: vec![write] }));
-            }
+            self.write_key_anew();
             return;
         }
-        // Machines before their first order.
-        let fleet_busy = self.commits.values().any(|(p, _)| matches!(p, Purpose::Fleet { .. }));
-        if self.tokens >= 1.0 && !fleet_busy {
-            let mut apply = Vec::new();
-            let mut commission = Vec::new();
-            for (id, m) in &mut self.machines {
-                if apply.len() < self.p.txn_ops && m.up && m.commission == Commission::No && !m.doomed {
-                    m.commission = Commission::Writing;
-                    let record = FleetRecord {
-                        endpoint: m.endpoint.clone(),
-                        kind: self.types[m.kind].name.clone(),
-                        zone: self.zones[m.zone as usize].clone(),
-                        spot: m.spot,
-                    };
-                    apply.push(Change::write(fleet_key(id), serde_json::json!(record)));
-                    commission.push(id.clone());
-                }
-            }
-            let room = self.p.txn_ops - apply.len();
-            let forget: Vec<MachineId> = self.forget.iter().take(room).cloned().collect();
-            apply.extend(forget.iter().map(|id| Change::drop(fleet_key(id))));
-            if !apply.is_empty() {
-                let txn = Txn { guards: vec![self.own_guard()], apply };
-                self.commit(Purpose::Fleet { commission, forget }, txn);
+        self.write_machines();
+        self.write_cancelled_successors();
+        self.write_finished(wall);
+        // What can wait takes turns.
+        if !self.write_done_sets(now) && !self.write_shares() {
+            self.drop_orphaned_sets();
+        }
+    }
+
+    fn write_key_anew(&mut self) {
+        if self.reguard != Reguard::Due || self.tokens < 1.0 {
+            return;
+        }
+        self.reguard = Reguard::UnderWay;
+        self.tokens -= 1.0;
+        let value = serde_json::json!(self.record);
+        let write = Change::Write { write: LEADER_KEY.into(), value, tenure: Some(self.record.lease.0) };
+        self.actions.push(Action::Reguard(Txn { guards: vec![self.own_guard()], apply: vec![write] }));
+    }
+
+    /// Records machines before their first order, and forgets those that are gone.
+    fn write_machines(&mut self) {
+        let under_way = self.commits.values().any(|(p, _)| matches!(p, Purpose::Fleet { .. }));
+        if self.tokens < 1.0 || under_way {
+            return;
+        }
+        let mut apply = Vec::new();
+        let mut commission = Vec::new();
+        for (id, m) in &mut self.machines {
+            if apply.len() < self.p.txn_ops && m.up && m.commission == Commission::No && !m.doomed {
+                m.commission = Commission::Writing;
+                let record = FleetRecord {
+                    endpoint: m.endpoint.clone(),
+                    kind: self.types[m.kind].name.clone(),
+                    zone: self.zones[m.zone as usize].clone(),
+                    spot: m.spot,
+                };
+                apply.push(Change::write(fleet_key(id), serde_json::json!(record)));
+                commission.push(id.clone());
             }
         }
-        // Jobs whose tasks are all done.
-        let finish: Vec<JobId> =
-            self.jobs.iter().filter(|(_, j)| j.all_done() && !j.finishing).map(|(id, _)| *id).take(8).collect();
-        for id in finish {
-            if self.tokens < 1.0 || self.commits.len() >= 6 {
+        let room = self.p.txn_ops - apply.len();
+        let forget: Vec<MachineId> = self.forget.iter().take(room).cloned().collect();
+        apply.extend(forget.iter().map(|id| Change::drop(fleet_key(id))));
+        if !apply.is_empty() {
+            let txn = Txn { guards: vec![self.own_guard()], apply };
+            self.commit(Purpose::Fleet { commission, forget }, txn);
+        }
+    }
+
+    /// Cancels jobs one of whose awaited jobs was cancelled.
+    fn write_cancelled_successors(&mut self) {
+        let under_way = self.commits.values().any(|(p, _)| matches!(p, Purpose::Cancel(_)));
+        if self.tokens < 1.0 || under_way {
+            return;
+        }
+        let most = (self.p.txn_ops / CHANGES_OF_AN_ENDING).max(1);
+        let doomed = self.pipelines.doomed().filter_map(|id| Some((*id, self.jobs.get(id)?)));
+        let mut guards = vec![self.own_guard()];
+        let mut apply = Vec::new();
+        let mut ids = Vec::new();
+        for (id, job) in doomed.take(most) {
+            guards.push(Guard { path: live_key(&id), revision: job.revision.0 });
+            apply.extend(ending_changes(&id, &OverRecord::cancelled(job.spec.tasks)));
+            ids.push(id);
+        }
+        if !ids.is_empty() {
+            self.commit(Purpose::Cancel(ids), Txn { guards, apply });
+        }
+    }
+
+    /// Ends jobs whose tasks are all done, those first that others await.
+    fn write_finished(&mut self, wall: Wall) {
+        let finished = self.jobs.iter().filter(|(_, j)| j.all_done() && !j.finishing);
+        let mut finished: Vec<JobId> = finished.map(|(id, _)| *id).collect();
+        finished.sort_by_key(|id| !self.pipelines.is_awaited(id));
+        for id in finished {
+            if self.tokens < 1.0 || self.commits.len() >= MAX_COMMITS {
                 break;
             }
             let guard = self.own_guard();
             let Some(job) = self.jobs.get_mut(&id) else { continue };
             job.finishing = true;
-            let record = OverRecord { phase: JobPhase::Done, tasks: job.spec.tasks };
             let guards = vec![guard, Guard { path: live_key(&id), revision: job.revision.0 }];
-            let apply = vec![Change::drop(live_key(&id)), Change::write(over_key(&id), serde_json::json!(record))];
-            self.commit(Purpose::Finish(id), Txn { guards, apply });
-        }
-        // Done tasks, so that workers may forget them: the more jobs, the more seldom.
-        let dirty: Vec<JobId> = self
-            .jobs
-            .iter()
-            .filter(|(_, j)| j.done_count > 0 && !j.all_done() && !j.bits_in_flight && j.durable != j.done)
-            .map(|(id, _)| *id)
-            .collect();
+            let apply = ending_changes(&id, &OverRecord::done(job.spec.tasks, wall)).into();
+            self.commit(Purpose::Finish(id, wall), Txn { guards, apply });
+        }
+    }
+
+    /// Keeps which tasks are done, so that workers may forget them: the more jobs, the more seldom. False:
+    /// nothing was due.
+    fn write_done_sets(&mut self, now: Mono) -> bool {
+        let changed = |j: &Job| j.done_count > 0 && !j.all_done() && !j.bits_in_flight && j.durable != j.done;
+        let dirty: Vec<JobId> = self.jobs.iter().filter(|(_, j)| changed(j)).map(|(id, _)| *id).collect();
         let every = Span::secs((dirty.len() as f64 / (self.p.write_rps * 0.4)).max(1.5));
-        if !dirty.is_empty() && now - self.bits_at >= every && self.tokens >= 2.0 {
-            self.bits_at = now;
-            let room = self.p.txn_ops.min(self.tokens as usize);
-            let mut apply = Vec::new();
-            let mut which = Vec::new();
-            for id in dirty {
-                let Some(job) = self.jobs.get_mut(&id) else { continue };
-                let mut changed: Vec<u32> =
-                    job.done.difference(&job.durable).map(|i| i as u32 / self.p.chunk).collect();
-                changed.dedup();
-                if apply.len() + changed.len() > room && !apply.is_empty() {
-                    break;
-                }
-                changed.truncate(room);
-                let mut durable = job.durable.clone();
-                for c in changed {
-                    let from = (c * self.p.chunk) as usize;
-                    let to = (from + self.p.chunk as usize).min(job.done.len());
-                    job.done.ones().filter(|i| (from..to).contains(i)).for_each(|i| durable.insert(i));
-                    let value = encode_bits(&job.done, c, self.p.chunk);
-                    apply.push(Change::write(format!("{BITS}{id}/{c}"), value));
-                }
-                job.bits_in_flight = true;
-                which.push((id, durable));
-                if apply.len() >= room {
-                    break;
-                }
+        if dirty.is_empty() || now - self.bits_at < every || self.tokens < 2.0 {
+            return false;
+        }
+        self.bits_at = now;
+        let room = self.p.txn_ops.min(self.tokens as usize);
+        let mut apply = Vec::new();
+        let mut which = Vec::new();
+        for id in dirty {
+            let Some(job) = self.jobs.get_mut(&id) else { continue };
+            let mut rows = self.p.layout.rows(job.spec.tasks);
+            rows.retain(|row| row.differs(&job.done, &job.durable));
+            if apply.len() + rows.len() > room && !apply.is_empty() {
+                break;
+            }
+            rows.truncate(room);
+            let mut durable = job.durable.clone();
+            for row in rows {
+                durable.extend(row.members(&job.done));
+                apply.push(Change::write(row.key(&id), row.encode(&job.done)));
+            }
+            job.bits_in_flight = true;
+            which.push((id, durable));
+            if apply.len() >= room {
+                break;
             }
-            let txn = Txn { guards: vec![self.own_guard()], apply };
-            self.commit(Purpose::Bits(which), txn);
-        } else if self.shares_dirty && self.tokens >= self.p.write_rps * 0.7 && self.commits.is_empty() {
-            self.shares_dirty = false;
-            let value = serde_json::json!(self.shares.kept(&self.team_names));
-            let txn = Txn { guards: vec![self.own_guard()], apply: vec![Change::write(SHARES_KEY, value)] };
-            self.commit(Purpose::Shares, txn);
-        } else if !self.orphaned_sets.is_empty() && self.tokens >= self.p.write_rps * 0.7 && self.commits.is_empty() {
-            let n = self.orphaned_sets.len().min(self.p.txn_ops).min(4);
-            let keys: Vec<String> = self.orphaned_sets.drain(..n).collect();
-            let apply = keys.iter().map(Change::drop).collect();
-            let txn = Txn { guards: vec![self.own_guard()], apply };
-            self.commit(Purpose::Tidy(keys), txn);
         }
+        let txn = Txn { guards: vec![self.own_guard()], apply };
+        self.commit(Purpose::DoneSets(which), txn);
+        true
+    }
+
+    /// Keeps who plans for which team. False: nothing was due.
+    fn write_shares(&mut self) -> bool {
+        if !self.shares_dirty || !self.has_writes_to_spare() {
+            return false;
+        }
+        self.shares_dirty = false;
+        let value = serde_json::json!(self.shares.kept(&self.team_names));
+        if value.to_string().len() > self.p.value_bytes {
+            // They save moves after a change of leader, and nothing rests on them.
+            warn!("{SHARES_KEY} has too many teams for a value and isn't kept");
+            return false;
+        }
+        let txn = Txn { guards: vec![self.own_guard()], apply: vec![Change::write(SHARES_KEY, value)] };
+        self.commit(Purpose::Shares, txn);
+        true
+    }
+
+    /// Drops what is left of jobs that are over.
+    fn drop_orphaned_sets(&mut self) {
+        if self.orphaned_sets.is_empty() || !self.has_writes_to_spare() {
+            return;
+        }
+        let n = self.orphaned_sets.len().min(self.p.txn_ops).min(4);
+        let keys: Vec<String> = self.orphaned_sets.drain(..n).collect();
+        let apply = keys.iter().map(Change::drop).collect();
+        let txn = Txn { guards: vec![self.own_guard()], apply };
+        self.commit(Purpose::Tidy(keys), txn);
+    }
+
+    fn has_writes_to_spare(&self) -> bool {
+        self.tokens >= self.p.write_rps * 0.7 && self.commits.is_empty()
     }
 
     /// The leader's key has this revision now; none: it isn't known, or no longer this leader's.
@@ -167,7 +237,7 @@
                     }
                 }
             }
-            Purpose::Bits(jobs) => {
+            Purpose::DoneSets(jobs) => {
                 // Workers are told to forget what is kept now as they list it again.
                 for (id, durable) in jobs {
                     let Some(job) = self.jobs.get_mut(&id) else { continue };
@@ -177,10 +247,10 @@
                     }
                 }
             }
-            Purpose::Finish(id) => match result {
+            Purpose::Finish(id, at) => match result {
                 CommitResult::Done => {
                     info!("job {id} is done");
-                    self.on_over(&id);
+                    self.on_over(&id, Ending::Done(Some(at)));
                 }
                 // The job's key has changed: cancelled, or an earlier try was carried out. The
                 // watch says which; until then nothing of it is started, as all is done.
@@ -191,6 +261,20 @@
                     }
                 }
             },
+            Purpose::Cancel(ids) => match result {
+                CommitResult::Done => {
+                    for id in ids {
+                        info!("job {id} is cancelled with one that it needs");
+                        self.on_over(&id, Ending::Cancelled);
+                    }
+                }
+                // It is over already: the watch says so, late perhaps, and says no more than that.
+                CommitResult::Conflict(failed) => {
+                    let over = ids.iter().filter(|id| failed.contains(&live_key(id)));
+                    over.for_each(|id| self.on_over(id, Ending::Unknown));
+                }
+                _ => {}
+            },
             Purpose::Shares => self.shares_dirty |= !ok,
             Purpose::Tidy(keys) if !ok => self.orphaned_sets.extend(keys),
             Purpose::Tidy(_) => {}
--- a/src/core/ledger_model/checks.rs
+++ b/src/core/ledger_model/checks.rs
@@ -11,20 +11,27 @@
                 assert!(self.really_done.contains(&t), "not_done: {t} at {}", self.now);
             }
             assert!(!self.cancelled.contains_key(id), "went_back: {id}");
+        } else {
+            let needed = self.awaits[id].iter().any(|awaited| self.is_cancelled_or_follows_one(awaited));
+            assert!(self.cancelled.contains_key(id) || needed, "{id} is cancelled for no reason at {}", self.now);
         }
     }
 
+    fn is_cancelled_or_follows_one(&self, id: &JobId) -> bool {
+        self.cancelled.contains_key(id) || self.awaits[id].iter().any(|id| self.is_cancelled_or_follows_one(id))
+    }
+
     /// What workers were told to forget stays durably done while its job is live.
     pub(super) fn check_done_bits(&self) {
-        let size = chunk_tasks(self.settings.cluster.state.value_kb);
+        let layout = Layout::new(&self.settings.cluster.state);
         for task in &self.cleared {
             if !self.store.contains_key(&live_key(&task.job)) {
                 continue;
             }
             let mut set = FixedBitSet::with_capacity(self.specs[&task.job].tasks as usize);
-            let chunk = task.index / size;
-            if let Some((value, _)) = self.store.get(&format!("{BITS}{}/{chunk}", task.job)) {
-                assert!(decode_bits(&mut set, chunk, size, value));
+            for row in self.rows(&format!("{BITS}{}/", task.job)) {
+                let (_, number) = parse_key(&row.path).expect("a key of a done set");
+                assert!(layout.read(&mut set, number, &row.value));
             }
             assert!(set.contains(task.index as usize), "{task} was cleared and isn't done at {}", self.now);
         }
@@ -41,6 +48,10 @@
         if let Some(at) = self.cancelled.get(&task.job) {
             assert!(now - at < 30_000, "ran_cancelled: {task} starts");
         }
+        for awaited in &self.awaits[&task.job] {
+            let done = matches!(self.ending(awaited), Some(Ending::Done(_)));
+            assert!(done, "too_early: {task} starts before {awaited} is done at {now}");
+        }
         let team = self.settings.cluster.teams.iter().find(|x| x.name == spec.team).unwrap();
         let mut used = spec.cpus;
         let mut zones = [0; 2];
--- a/src/core/ledger_model/mod.rs
+++ b/src/core/ledger_model/mod.rs
@@ -7,11 +7,12 @@
 mod tests;
 mod workers;
 
+use super::done_sets::{Layout, parse_key};
 use super::fleet::FLEET;
-use super::jobs::{BITS, LIVE, LiveRecord, OVER, OverRecord, chunk_tasks, decode_bits, live_key, over_key};
 use super::leader::{Action, CommitResult, Leader, OrdersResult, RentResult, Stored};
 use super::leadership::{LEADER_KEY, LeaderRecord};
 use super::miser;
+use super::records::{BITS, Ending, LIVE, LiveRecord, OVER, OverRecord, live_key, over_key};
 use crate::config::{Settings, Tuning, sample_settings};
 use crate::ids::{Attempt, FencingToken, JobId, LeaseId, Revision, Sequence, Session, TaskId, Term};
 use crate::peer::PlanOutput;
@@ -125,6 +126,10 @@
         node: String,
         plan: Option<PlanOutput>,
     },
+    LookedUp {
+        leader: u64,
+        endings: Vec<(JobId, Ending)>,
+    },
     Watch {
         leader: u64,
         key: String,
@@ -148,6 +153,9 @@
     next_leader_at: u64,
     requests_made: BTreeMap<String, Vec<String>>,
     specs: BTreeMap<JobId, JobSpec>,
+    /// The jobs that each job awaits, as its user named them.
+    awaits: BTreeMap<JobId, Vec<JobId>>,
+    /// What its user has been told is cancelled, and when.
     cancelled: BTreeMap<JobId, u64>,
     really_done: BTreeSet<TaskId>,
     /// Done tasks that their workers were told to forget.
@@ -159,6 +167,8 @@
     away: u64,
     /// How likely a job is called off at a step.
     cancels: f64,
+    /// How likely a new job awaits earlier ones.
+    pipelines: f64,
     /// The share of reports that reach a controller which passes them on.
     forwarded: f64,
     /// How much longer than usual all mail takes.
@@ -203,6 +213,7 @@
             next_leader_at: 0,
             requests_made: BTreeMap::new(),
             specs: BTreeMap::new(),
+            awaits: BTreeMap::new(),
             cancelled: BTreeMap::new(),
             really_done: BTreeSet::new(),
             cleared: BTreeSet::new(),
@@ -210,6 +221,7 @@
             ends: 0.002,
             away: 9_000,
             cancels: 0.01,
+            pipelines: 0.2,
             forwarded: 0.5,
             slow: 0,
             next_job: 0,
@@ -343,6 +355,13 @@
                     }
                     self.post(delay, Mail::Plan { leader, node, plan });
                 }
+                Action::LookUp(ids) => {
+                    let lost = self.lost();
+                    let endings = ids.iter().filter_map(|id| Some((*id, self.ending(id)?))).filter(|_| !lost);
+                    let endings = endings.collect();
+                    let delay = self.rng.random_range(5..1_400);
+                    self.post(delay, Mail::LookedUp { leader, endings });
+                }
                 Action::Rent(r) => {
                     let result = if self.lost() { RentResult::Unknown } else { self.rent(&r) };
                     self.post(200, Mail::Rented { leader, name: r.name, result });
@@ -414,7 +433,15 @@
             deadline_s: None,
         };
         self.specs.insert(id, spec.clone());
-        let record = json!(LiveRecord { at: Wall(self.now), spec });
+        let named = if self.chance(self.pipelines) { self.named_by_new_job(id) } else { Vec::new() };
+        self.awaits.insert(id, named.clone());
+        if named.iter().any(|named| self.ending(named) == Some(Ending::Cancelled)) {
+            self.epoch += 1;
+            self.store.insert(over_key(&id), (json!(OverRecord::cancelled(spec.tasks)), self.epoch));
+            return;
+        }
+        let awaits = named.into_iter().filter(|named| self.ending(named).is_none()).collect();
+        let record = json!(LiveRecord { at: Wall(self.now), spec, awaits });
         self.epoch += 1;
         self.store.insert(live_key(&id), (record.clone(), self.epoch));
         let (leader, epoch) = (self.leader_no, self.epoch);
@@ -424,15 +451,33 @@
 
     fn cancel(&mut self, id: &JobId) {
         let Some((_, _)) = self.store.get(&live_key(id)) else { return };
-        let over = OverRecord { phase: JobPhase::Aborted, tasks: self.specs[id].tasks };
+        let over = OverRecord::cancelled(self.specs[id].tasks);
         let revision = self.store[&live_key(id)].1;
         let guards = vec![crate::wire::Guard { path: live_key(id), revision }];
         let apply = vec![Change::drop(live_key(id)), Change::write(over_key(id), json!(over))];
-        if self.commit(&Txn { guards, apply }) == CommitResult::Done {
-            self.cancelled.insert(*id, self.now);
+        let cancelled_before = self.cancelled.insert(*id, self.now);
+        if self.commit(&Txn { guards, apply }) != CommitResult::Done {
+            match cancelled_before {
+                Some(at) => self.cancelled.insert(*id, at),
+                None => self.cancelled.remove(id),
+            };
         }
     }
 
+    /// One or two of the latest jobs that end by themselves.
+    fn named_by_new_job(&mut self, new: JobId) -> Vec<JobId> {
+        let earlier = self.specs.iter().rev().filter(|(id, spec)| **id != new && spec.kind != Kind::Service);
+        let earlier: Vec<JobId> = earlier.map(|(id, _)| *id).take(5).collect();
+        let count = self.rng.random_range(1..3);
+        earlier.into_iter().filter(|_| self.rng.random_bool(0.4)).take(count).collect()
+    }
+
+    /// How a job has ended; none: it hasn't.
+    fn ending(&self, id: &JobId) -> Option<Ending> {
+        let (value, _) = self.store.get(&over_key(id))?;
+        serde_json::from_value::<OverRecord>(value.clone()).ok().map(|record| record.ending())
+    }
+
     // ---- the world
 
     fn deliver(&mut self) {
@@ -573,13 +618,18 @@
                     l.on_plan(now, &node, plan);
                 }
             }
+            Mail::LookedUp { leader, endings } if leader == current => {
+                if let Some(l) = &mut self.leader {
+                    l.on_looked_up(now, &endings);
+                }
+            }
             Mail::Watch { leader, key, value } if leader == current => {
                 let (Some(l), Some(id)) = (&mut self.leader, key.strip_prefix(LIVE).and_then(JobId::parse)) else {
                     return;
                 };
                 match value {
                     Some((v, revision)) => l.on_live(&id, &v, Revision(revision)),
-                    None => l.on_over(&id),
+                    None => l.on_over(&id, Ending::Unknown),
                 }
             }
             _ => {}
--- a/src/core/ledger_model/tests.rs
+++ b/src/core/ledger_model/tests.rs
@@ -58,6 +58,23 @@
     assert!(starts > 500, "starts={starts}");
 }
 
+#[test]
+fn pipelines_wait_and_are_cancelled_under_every_change_of_leader() {
+    let (starts, leaders) =
+        play(700..730, |m| (m.pipelines, m.cancels, m.ends, m.late_writes) = (0.7, 0.02, 0.004, 0.1));
+    assert!(starts > 1_000 && leaders > 120, "starts={starts} leaders={leaders}");
+}
+
+#[test]
+fn pipelines_end_once_troubles_are_over() {
+    for seed in 800..806 {
+        let mut m = Model::new(seed);
+        (m.pipelines, m.cancels) = (0.8, 0.004);
+        m.run(60, 400);
+        assert!(m.unfinished().is_empty(), "seed {seed}: {:?}", m.unfinished());
+    }
+}
+
 #[test]
 fn every_job_ends_once_troubles_are_over() {
     for seed in 100..106 {
--- a/src/core/miser.rs
+++ b/src/core/miser.rs
@@ -112,8 +112,8 @@
     0.5 * (1.0 + libm::erf((x.ln() - mu) / (sigma * std::f64::consts::SQRT_2)))
 }
 
-/// Sub-deadline of a task without successors (paper, eq. 3): the job's deadline; on a spot machine
-/// the task's own run time earlier, as a restart takes the place of a migration (ours).
+/// Sub-deadline of a task (paper, eq. 3), given that of its job, in which its successors are counted
+/// already; on a spot machine the task's own run time earlier, as a restart takes the place of a migration (ours).
 pub fn sub_deadline(due_s: f64, run_s: f64, spot: bool) -> f64 {
     if spot { due_s - run_s } else { due_s }
 }
@@ -186,7 +186,7 @@
     let kinds = input.types.len() as u32;
     input.machines.iter().all(|m| m.kind < kinds)
         && input.offers.iter().all(|o| o.kind < kinds && o.most <= 1_000)
-        && input.jobs.iter().all(|j| j.tasks <= crate::core::jobs::MAX_TASKS && j.ready <= j.tasks)
+        && input.jobs.iter().all(|j| j.tasks <= crate::core::submissions::MAX_TASKS && j.ready <= j.tasks)
 }
 
 impl Active<'_> {
@@ -334,10 +334,9 @@
         let cheapest = known().map(|c| c.cost).fold(f64::INFINITY, f64::min);
         let dearest = known().map(|c| c.cost).fold(0.0, f64::max);
         let span = known().filter(|c| c.cost <= cheapest + EPS).map(|c| c.finish_s).fold(f64::INFINITY, f64::min);
-        // Average time over the places stands for the average execution time of eq. 1; tasks here
-        // have no successors.
+        // Average time over the places stands for the average execution time of eq. 1.
         let n = known().count().max(1) as f64;
-        let rank = known().map(|c| c.finish_s).sum::<f64>() / n;
+        let rank = known().map(|c| c.finish_s).sum::<f64>() / n + j.successors_s;
         // Budget = cheapest + B x (dearest - cheapest) for all tasks (ours), less what was spent.
         let spare = if cheapest.is_finite() {
             (self.input.budget_share * (dearest - cheapest) * j.tasks as f64 - j.overspent).max(0.0)
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -1,14 +1,18 @@
 //! The core: no sockets, no files, no clocks. Inputs in; sends, writes and answers out.
 
 pub mod cancellations;
+pub mod done_sets;
 pub mod fleet;
 pub mod jobs;
 pub mod leader;
 pub mod leadership;
 pub mod miser;
 pub mod overload;
+pub mod pipelines;
+pub mod records;
 pub mod rentals;
 pub mod shares;
+pub mod submissions;
 
 #[cfg(test)]
 mod election_model;
--- /dev/null
+++ b/src/core/pipelines.rs
@@ -0,0 +1,212 @@
+//! Which live jobs await which others, as the leader keeps it: what the end of a job means to the jobs
+//! after it, and what a job inherits from them.
+
+use super::records::Ending;
+use crate::ids::JobId;
+use crate::wire::Priority;
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
+
+#[derive(Default)]
+pub struct Pipelines {
+    /// For each awaited job, the live jobs that await it.
+    successors: BTreeMap<JobId, BTreeSet<JobId>>,
+    /// Awaited jobs that aren't known to be live, nor how they have ended: the state service is asked.
+    unresolved: BTreeSet<JobId>,
+    /// The last job that the state service was asked about.
+    asked_last: Option<JobId>,
+    /// Live jobs that a cancelled one must take with it.
+    doomed: BTreeSet<JobId>,
+}
+
+/// What a job brings into the deadlines and ranks of the jobs before it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Stage {
+    pub priority: Priority,
+    /// Seconds left until its deadline.
+    pub due_s: Option<f64>,
+    /// Seconds left until each of its aims on finishing.
+    pub goals: Vec<f64>,
+    /// The least time that its tasks run.
+    pub run_s: f64,
+    /// The time from the end of an awaited job to its start: the paper's communication time.
+    pub transfer_s: f64,
+}
+
+/// What a job takes over from the jobs that need it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Inherited {
+    pub priority: Priority,
+    /// Sub-deadline of the paper's eq. 3, in seconds from now.
+    pub due_s: Option<f64>,
+    pub goals: Vec<f64>,
+    /// The successors' part of the paper's rank (eq. 1).
+    pub rank_s: f64,
+}
+
+impl Pipelines {
+    /// A job has come to be known as live; `is_live` tells of others.
+    pub fn add(&mut self, id: JobId, awaits: &BTreeSet<JobId>, is_live: impl Fn(&JobId) -> bool) {
+        self.unresolved.remove(&id);
+        for awaited in awaits {
+            self.successors.entry(*awaited).or_default().insert(id);
+            if !is_live(awaited) {
+                self.unresolved.insert(*awaited);
+            }
+        }
+        if awaits.iter().any(|awaited| self.doomed.contains(awaited)) {
+            self.doom(id);
+        }
+    }
+
+    /// A job is not live any more; it was still awaiting these.
+    pub fn remove(&mut self, id: &JobId, awaits: &BTreeSet<JobId>) {
+        self.doomed.remove(id);
+        for awaited in awaits {
+            let Some(successors) = self.successors.get_mut(awaited) else { continue };
+            successors.remove(id);
+            if successors.is_empty() {
+                self.successors.remove(awaited);
+                self.unresolved.remove(awaited);
+            }
+        }
+    }
+
+    /// A job has ended. Returns the jobs that need not await it any more.
+    pub fn ended(&mut self, id: &JobId, ending: Ending) -> BTreeSet<JobId> {
+        let Some(successors) = self.successors.get(id) else { return BTreeSet::new() };
+        match ending {
+            Ending::Unknown => {
+                self.unresolved.insert(*id);
+                BTreeSet::new()
+            }
+            Ending::Cancelled => {
+                self.unresolved.remove(id);
+                for successor in successors.clone() {
+                    self.doom(successor);
+                }
+                BTreeSet::new()
+            }
+            Ending::Done(_) => {
+                self.unresolved.remove(id);
+                self.successors.remove(id).unwrap_or_default()
+            }
+        }
+    }
+
+    /// Marks a job and all that need it, directly or through others, as to be cancelled.
+    fn doom(&mut self, id: JobId) {
+        let mut next = vec![id];
+        while let Some(id) = next.pop() {
+            if self.doomed.insert(id) {
+                next.extend(self.successors.get(&id).into_iter().flatten());
+            }
+        }
+    }
+
+    pub fn is_doomed(&self, id: &JobId) -> bool {
+        self.doomed.contains(id)
+    }
+
+    /// Live jobs that have to be cancelled as one that they need was.
+    pub fn doomed(&self) -> impl Iterator<Item = &JobId> {
+        self.doomed.iter()
+    }
+
+    /// Whether some live job awaits this one.
+    pub fn is_awaited(&self, id: &JobId) -> bool {
+        self.successors.contains_key(id)
+    }
+
+    /// Changes have been missed: what is awaited and not live any more has ended unseen.
+    pub fn recheck(&mut self, is_live: impl Fn(&JobId) -> bool) {
+        let ended = self.successors.keys().filter(|id| !is_live(id));
+        self.unresolved.extend(ended);
+    }
+
+    /// The next jobs to ask the state service about; all get their turn.
+    pub fn next_unresolved(&mut self, most: usize) -> Vec<JobId> {
+        let after = self.asked_last.map_or(Bound::Unbounded, Bound::Excluded);
+        let upto = self.asked_last.map_or(Bound::Excluded(JobId::LEAST), Bound::Included);
+        let later = self.unresolved.range((after, Bound::Unbounded));
+        let first = self.unresolved.range((Bound::Unbounded, upto));
+        let next: Vec<JobId> = later.chain(first).take(most).copied().collect();
+        self.asked_last = next.last().copied().or(self.asked_last);
+        next
+    }
+
+    /// What each awaited job takes over from the jobs that need it, given what is known of each live job.
+    pub fn inherit(&self, stage: impl Fn(&JobId) -> Option<Stage>) -> BTreeMap<JobId, Inherited> {
+        let mut known: BTreeMap<JobId, Option<Inherited>> = BTreeMap::new();
+        for id in self.successors.keys() {
+            // Depth first without recursion, as chains may be long.
+            let mut open = vec![*id];
+            while let Some(id) = open.last().copied() {
+                let begun = known.contains_key(&id);
+                let before = open.len();
+                if !begun {
+                    known.insert(id, None);
+                    open.extend(self.wanting(&id).filter(|s| !known.contains_key(s)));
+                }
+                if begun || open.len() == before {
+                    open.pop();
+                    let inherited = self.inherited_of(&id, &known, &stage);
+                    known.insert(id, inherited);
+                }
+            }
+        }
+        known.into_iter().filter_map(|(id, inherited)| Some((id, inherited?))).collect()
+    }
+
+    /// The jobs that still want this one done.
+    fn wanting(&self, id: &JobId) -> impl Iterator<Item = JobId> {
+        self.successors.get(id).into_iter().flatten().copied().filter(|s| !self.doomed.contains(s))
+    }
+
+    fn inherited_of(
+        &self,
+        id: &JobId,
+        known: &BTreeMap<JobId, Option<Inherited>>,
+        stage: impl Fn(&JobId) -> Option<Stage>,
+    ) -> Option<Inherited> {
+        let of = |successor: JobId| {
+            let own = stage(&successor)?;
+            Some(known.get(&successor).cloned().flatten().map_or(Inherited::from_last(&own), |i| i.before(&own)))
+        };
+        self.wanting(id).filter_map(of).reduce(Inherited::joined)
+    }
+}
+
+impl Inherited {
+    /// What a stage hands on that no other job needs.
+    fn from_last(stage: &Stage) -> Inherited {
+        let none = Inherited { priority: Priority::Low, due_s: None, goals: Vec::new(), rank_s: 0.0 };
+        none.before(stage)
+    }
+
+    /// What the jobs before a stage inherit, given what the stage itself does.
+    fn before(self, stage: &Stage) -> Inherited {
+        let least_s = stage.run_s + stage.transfer_s;
+        let due_s = self.due_s.into_iter().chain(stage.due_s).reduce(f64::min);
+        Inherited {
+            priority: self.priority.min(stage.priority),
+            due_s: due_s.map(|due_s| due_s - least_s),
+            goals: self.goals.iter().chain(&stage.goals).map(|goal| goal - least_s).collect(),
+            rank_s: self.rank_s + least_s,
+        }
+    }
+
+    /// What a job inherits from two successors.
+    fn joined(mut self, other: Inherited) -> Inherited {
+        self.goals.extend(other.goals);
+        Inherited {
+            priority: self.priority.min(other.priority),
+            due_s: self.due_s.into_iter().chain(other.due_s).reduce(f64::min),
+            goals: self.goals,
+            rank_s: self.rank_s.max(other.rank_s),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/core/pipelines/tests.rs
@@ -0,0 +1,126 @@
+use super::*;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+fn id(n: u32) -> JobId {
+    JobId::parse(&format!("req-{n:06}")).unwrap()
+}
+
+fn ids(numbers: &[u32]) -> BTreeSet<JobId> {
+    numbers.iter().map(|n| id(*n)).collect()
+}
+
+/// A slow plain model: every job with all it names, and how it ended. All else is worked out anew.
+#[derive(Default)]
+struct Model {
+    jobs: Vec<(BTreeSet<JobId>, Option<Ending>)>,
+}
+
+impl Model {
+    fn ending(&self, id: &JobId) -> Option<Ending> {
+        (0..self.jobs.len()).find(|n| super::tests::id(*n as u32) == *id).and_then(|n| self.jobs[n].1)
+    }
+
+    fn is_doomed(&self, n: usize) -> bool {
+        let cancelled = |a: &JobId| self.ending(a) == Some(Ending::Cancelled);
+        let doomed = |a: &JobId| (0..n).any(|m| id(m as u32) == *a && self.is_doomed(m));
+        self.jobs[n].1.is_none() && self.jobs[n].0.iter().any(|a| cancelled(a) || doomed(a))
+    }
+
+    fn may_start(&self, n: usize) -> bool {
+        self.jobs[n].0.iter().all(|a| matches!(self.ending(a), Some(Ending::Done(_))))
+    }
+}
+
+#[test]
+fn jobs_start_and_are_cancelled_as_in_the_model() {
+    let (mut started, mut doomed) = (0, 0);
+    for seed in 0..200 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut model = Model::default();
+        let mut pipelines = Pipelines::default();
+        // What the leader keeps for each live job.
+        let mut awaits: BTreeMap<JobId, BTreeSet<JobId>> = BTreeMap::new();
+        for n in 0..30u32 {
+            let named: BTreeSet<JobId> = (0..n).filter(|_| rng.random_bool(0.15)).map(id).collect();
+            model.jobs.push((named.clone(), None));
+            pipelines.add(id(n), &named, |a| awaits.contains_key(a));
+            awaits.insert(id(n), named);
+            // Some job ends; its ending may be learned of later, or twice.
+            let over = rng.random_range(0..=n);
+            if awaits.contains_key(&id(over)) {
+                let done = model.may_start(over as usize) && rng.random_bool(0.7);
+                let ending = if done { Ending::Done(None) } else { Ending::Cancelled };
+                model.jobs[over as usize].1 = Some(ending);
+                let left = awaits.remove(&id(over)).unwrap();
+                pipelines.remove(&id(over), &left);
+                let first = if rng.random_bool(0.5) { Ending::Unknown } else { ending };
+                end(&mut pipelines, &mut awaits, id(over), first);
+            }
+            for asked in pipelines.next_unresolved(40) {
+                let ending = model.ending(&asked).expect("only jobs that have ended are asked about");
+                end(&mut pipelines, &mut awaits, asked, ending);
+            }
+            for n in 0..model.jobs.len() {
+                let Some(left) = awaits.get(&id(n as u32)) else { continue };
+                assert_eq!(left.is_empty(), model.may_start(n), "seed {seed}: start of {n}");
+                assert_eq!(pipelines.is_doomed(&id(n as u32)), model.is_doomed(n), "seed {seed}: cancelling {n}");
+                started += u32::from(left.is_empty());
+                doomed += u32::from(model.is_doomed(n));
+            }
+        }
+    }
+    assert!(started > 1_000 && doomed > 1_000, "started={started} doomed={doomed}");
+}
+
+fn end(pipelines: &mut Pipelines, awaits: &mut BTreeMap<JobId, BTreeSet<JobId>>, over: JobId, ending: Ending) {
+    for released in pipelines.ended(&over, ending) {
+        awaits.get_mut(&released).map(|left| left.remove(&over));
+    }
+}
+
+fn stage(priority: Priority, due_s: Option<f64>, run_s: f64) -> Stage {
+    Stage { priority, due_s, goals: due_s.into_iter().collect(), run_s, transfer_s: 1.0 }
+}
+
+#[test]
+fn a_pipeline_hands_its_priority_and_deadline_to_the_jobs_before() {
+    // 1 and 2 before 3, 3 and 1 before 4; 5 needs 1 as well, and is cancelled with 9.
+    let mut pipelines = Pipelines::default();
+    pipelines.add(id(3), &ids(&[1, 2]), |_| true);
+    pipelines.add(id(4), &ids(&[1, 3]), |_| true);
+    pipelines.add(id(5), &ids(&[1, 9]), |_| true);
+    pipelines.ended(&id(9), Ending::Cancelled);
+    let stages = BTreeMap::from([
+        (id(3), stage(Priority::Normal, None, 20.0)),
+        (id(4), stage(Priority::High, Some(100.0), 8.0)),
+        (id(5), stage(Priority::Prod, Some(1.0), 8.0)),
+    ]);
+    let inherited = pipelines.inherit(|id| stages.get(id).cloned());
+    let of = |n: u32| {
+        let i = &inherited[&id(n)];
+        (i.priority, i.due_s, i.rank_s)
+    };
+    assert_eq!(of(3), (Priority::High, Some(91.0), 9.0));
+    assert_eq!(of(2), (Priority::High, Some(70.0), 30.0));
+    assert_eq!(of(1), (Priority::High, Some(70.0), 30.0), "the longer way counts");
+    assert!(!inherited.contains_key(&id(4)) && !inherited.contains_key(&id(9)));
+    // A long chain is no trouble.
+    let mut chain = Pipelines::default();
+    (1..20_000).for_each(|n| chain.add(id(n), &ids(&[n - 1]), |_| true));
+    let inherited = chain.inherit(|_| Some(stage(Priority::Low, Some(0.0), 1.0)));
+    assert_eq!(inherited[&id(0)].rank_s, 2.0 * 19_999.0);
+}
+
+#[test]
+fn all_jobs_get_their_turn_to_be_asked_about() {
+    let mut pipelines = Pipelines::default();
+    pipelines.add(id(9), &ids(&[1, 2, 3]), |_| false);
+    assert_eq!(pipelines.next_unresolved(2), [id(1), id(2)]);
+    assert_eq!(pipelines.next_unresolved(2), [id(3), id(1)]);
+    // One comes to be known as live after all, the others are of no use to anybody any more.
+    pipelines.add(id(2), &ids(&[]), |_| false);
+    assert_eq!(pipelines.next_unresolved(9).len(), 2);
+    pipelines.remove(&id(9), &ids(&[1, 2, 3]));
+    assert!(pipelines.next_unresolved(9).is_empty());
+}
--- /dev/null
+++ b/src/core/records.rs
@@ -0,0 +1,112 @@
+//! What the state service keeps of jobs, and under which keys.
+
+use crate::ids::JobId;
+use crate::time::Wall;
+use crate::wire::{Guard, JobPhase, JobSpec};
+use serde::{Deserialize, Serialize};
+
+/// A job that is not over is kept under `live/ID`, one that is over under `over/ID`.
+pub const LIVE: &str = "live/";
+pub const OVER: &str = "over/";
+/// Sets of done tasks: `bits/ID/ROW`.
+pub const BITS: &str = "bits/";
+
+pub fn live_key(id: &JobId) -> String {
+    format!("{LIVE}{id}")
+}
+pub fn over_key(id: &JobId) -> String {
+    format!("{OVER}{id}")
+}
+
+/// Both keys must be absent for a job to be new.
+pub fn absent_guards(id: &JobId) -> Vec<Guard> {
+    vec![Guard { path: live_key(id), revision: 0 }, Guard { path: over_key(id), revision: 0 }]
+}
+
+/// A job that is neither done nor cancelled.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(from = "StoredLive", into = "StoredLive")]
+pub struct LiveRecord {
+    /// Time of day of the submission.
+    pub at: Wall,
+    pub spec: JobSpec,
+    /// The jobs that must be done before any task of this one starts.
+    pub awaits: Vec<JobId>,
+}
+
+/// The form in which a [`LiveRecord`] is stored. Versions that know nothing of awaited jobs can't read
+/// `Waiting`, and leave such a job alone instead of starting it too early.
+#[derive(Clone, Serialize, Deserialize)]
+#[serde(untagged)]
+enum StoredLive {
+    Plain { at: Wall, spec: JobSpec },
+    Waiting { at: Wall, waiting: WaitingSpec },
+}
+
+#[derive(Clone, Serialize, Deserialize)]
+struct WaitingSpec {
+    spec: JobSpec,
+    awaits: Vec<JobId>,
+}
+
+impl From<StoredLive> for LiveRecord {
+    fn from(stored: StoredLive) -> LiveRecord {
+        match stored {
+            StoredLive::Plain { at, spec } => LiveRecord { at, spec, awaits: Vec::new() },
+            StoredLive::Waiting { at, waiting } => LiveRecord { at, spec: waiting.spec, awaits: waiting.awaits },
+        }
+    }
+}
+
+impl From<LiveRecord> for StoredLive {
+    fn from(record: LiveRecord) -> StoredLive {
+        let LiveRecord { at, spec, awaits } = record;
+        match awaits.is_empty() {
+            true => StoredLive::Plain { at, spec },
+            false => StoredLive::Waiting { at, waiting: WaitingSpec { spec, awaits } },
+        }
+    }
+}
+
+/// A job that is done or cancelled.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct OverRecord {
+    pub phase: JobPhase,
+    pub tasks: u32,
+    /// When it was done: the times of jobs that await it count from then. Earlier versions don't say.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub at: Option<Wall>,
+}
+
+impl OverRecord {
+    pub fn done(tasks: u32, at: Wall) -> OverRecord {
+        OverRecord { phase: JobPhase::Done, tasks, at: Some(at) }
+    }
+
+    pub fn cancelled(tasks: u32) -> OverRecord {
+        OverRecord { phase: JobPhase::Aborted, tasks, at: None }
+    }
+
+    pub fn is_done(&self) -> bool {
+        self.phase == JobPhase::Done
+    }
+
+    pub fn ending(&self) -> Ending {
+        match self.phase {
+            JobPhase::Done => Ending::Done(self.at),
+            _ => Ending::Cancelled,
+        }
+    }
+}
+
+/// How a job has ended, as far as this is known.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Ending {
+    Done(Option<Wall>),
+    Cancelled,
+    /// It is over, one way or the other.
+    Unknown,
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/core/records/tests.rs
@@ -0,0 +1,53 @@
+//! What versions read of each other's records.
+
+use super::*;
+use serde_json::{Value, json};
+
+/// The records as the version before awaited jobs declared them.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct EarlierLiveRecord {
+    at: Wall,
+    spec: JobSpec,
+}
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct EarlierOverRecord {
+    phase: JobPhase,
+    tasks: u32,
+}
+
+fn spec() -> JobSpec {
+    serde_json::from_value(json!({"id": "req-000412", "berth": "train", "crew": "team-a", "shape": "batch",
+        "rank": "high", "lots": 4, "cores": 8.0, "gpus": 1.0, "ram_gb": 64.0, "cast": "img-07", "pull_gb": 6.2,
+        "same_place": true, "apart": false, "loaner": true, "expect_s": 240.0, "mark_s": 30.0, "stow_s": 4.0}))
+    .unwrap()
+}
+
+fn read<T: serde::de::DeserializeOwned>(value: &Value) -> Option<T> {
+    serde_json::from_value(value.clone()).ok()
+}
+
+#[test]
+fn plain_jobs_are_the_same_in_all_versions() {
+    let record = LiveRecord { at: Wall(7), spec: spec(), awaits: Vec::new() };
+    let earlier = EarlierLiveRecord { at: Wall(7), spec: spec() };
+    assert_eq!(json!(record), json!(earlier));
+    assert_eq!(read::<LiveRecord>(&json!(earlier)), Some(record));
+}
+
+#[test]
+fn an_earlier_version_does_not_take_a_waiting_job_for_one_that_may_start() {
+    let awaits = vec![JobId::parse("req-000398").unwrap(), JobId::parse("req-0000405").unwrap()];
+    let record = LiveRecord { at: Wall(7), spec: spec(), awaits };
+    assert_eq!(read::<EarlierLiveRecord>(&json!(record)), None);
+    assert_eq!(read::<LiveRecord>(&json!(record)), Some(record));
+}
+
+#[test]
+fn endings_are_read_by_all_versions() {
+    for record in [OverRecord::done(3, Wall(9)), OverRecord::cancelled(3)] {
+        let earlier = EarlierOverRecord { phase: record.phase, tasks: 3 };
+        assert_eq!(read::<EarlierOverRecord>(&json!(record)).as_ref(), Some(&earlier));
+        assert_eq!(read::<OverRecord>(&json!(earlier)).map(|r| r.phase), Some(record.phase));
+    }
+    assert_eq!(read::<OverRecord>(&json!({"phase": "done", "tasks": 1})).unwrap().ending(), Ending::Done(None));
+}
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -14,6 +14,9 @@
 }
 
 impl JobId {
+    /// Sorts before all names of jobs.
+    pub const LEAST: JobId = JobId { number: 0, digits: 0 };
+
     /// Checks the one form that job names have: `req-` and six to 18 digits.
     pub fn parse(s: &str) -> Option<JobId> {
         let digits = s.strip_prefix("req-")?;
@@ -68,28 +71,36 @@
     }
 }
 
-impl Serialize for TaskId {
-    fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
-        s.collect_str(self)
-    }
-}
-
-impl<'de> Deserialize<'de> for TaskId {
-    fn deserialize<D: Deserializer<'de>>(d: D) -> Result<TaskId, D::Error> {
-        struct Name;
-        impl Visitor<'_> for Name {
-            type Value = TaskId;
-            fn expecting(&self, f: &mut fmt::Formatter) -> fmt::Result {
-                f.write_str("a task such as req-000412/3")
+/// JSON of a name: the text that it is written as.
+macro_rules! name_as_text {
+    ($name:ident, $example:literal) => {
+        impl Serialize for $name {
+            fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+                s.collect_str(self)
             }
-            fn visit_str<E: de::Error>(self, s: &str) -> Result<TaskId, E> {
-                TaskId::parse(s).ok_or_else(|| E::invalid_value(de::Unexpected::Str(s), &self))
+        }
+
+        impl<'de> Deserialize<'de> for $name {
+            fn deserialize<D: Deserializer<'de>>(d: D) -> Result<$name, D::Error> {
+                struct Name;
+                impl Visitor<'_> for Name {
+                    type Value = $name;
+                    fn expecting(&self, f: &mut fmt::Formatter) -> fmt::Result {
+                        f.write_str(concat!("a name such as ", $example))
+                    }
+                    fn visit_str<E: de::Error>(self, s: &str) -> Result<$name, E> {
+                        $name::parse(s).ok_or_else(|| E::invalid_value(de::Unexpected::Str(s), &self))
+                    }
+                }
+                d.deserialize_str(Name)
             }
         }
-        d.deserialize_str(Name)
-    }
+    };
 }
 
+name_as_text!(JobId, "req-000412");
+name_as_text!(TaskId, "req-000412/3");
+
 macro_rules! counter {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
--- /dev/null
+++ b/src/net/ancestors.rs
@@ -0,0 +1,104 @@
+//! Whether a job that a waiting job needs, directly or through others, was cancelled. The leader cancels the
+//! jobs after a cancelled one; until it has, or while there is none, no controller calls them live.
+
+use super::lookups::{Found, in_time, read};
+use super::node::Node;
+use super::state::StateError;
+use crate::core::records::LiveRecord;
+use crate::ids::JobId;
+use crate::time::{Mono, Span};
+use crate::wire::{Kind, Row};
+use std::collections::HashMap;
+use std::pin::Pin;
+
+/// How a job stands to the jobs that await it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Standing {
+    Done,
+    /// It may still be done.
+    Live,
+    /// It runs until it is cancelled.
+    Service,
+    /// It, or a job that it needs, is cancelled.
+    Cancelled,
+    Absent,
+}
+
+/// What was read lately of waiting jobs and all that they need: none of it was cancelled at that time.
+#[derive(Default)]
+pub struct CheckedPipelines(HashMap<JobId, Mono>);
+
+const MAX_CHECKED: usize = 8_192;
+/// For which part of `cancel_s` such a reading may be relied on.
+const RELIED_ON: f64 = 0.25;
+
+impl CheckedPipelines {
+    fn checked_at(&self, id: &JobId, now: Mono, within: Span) -> Option<Mono> {
+        self.0.get(id).copied().filter(|at| now - *at <= within)
+    }
+
+    fn put(&mut self, id: JobId, at: Mono) {
+        if self.0.len() >= MAX_CHECKED {
+            self.0.clear();
+        }
+        self.0.insert(id, at);
+    }
+}
+
+/// A job's standing, and when the oldest reading that it rests on was asked for.
+struct Checked {
+    standing: Standing,
+    at: Mono,
+}
+
+/// How a job stands to the jobs that await it, by readings that are fresh enough to tell users.
+pub async fn standing(node: &Node, id: &JobId) -> Result<Standing, StateError> {
+    in_time(node, check(node, *id)).await.map(|checked| checked.standing)
+}
+
+/// Whether a live job has to be cancelled, as one that it needs is.
+pub async fn needs_cancelled(node: &Node, id: &JobId, row: &Row) -> Result<bool, StateError> {
+    let checked = in_time(node, check_live(node, *id, row)).await?;
+    Ok(checked.standing == Standing::Cancelled)
+}
+
+fn check(node: &Node, id: JobId) -> Pin<Box<dyn Future<Output = Result<Checked, StateError>> + Send + '_>> {
+    Box::pin(async move {
+        let at = node.now();
+        Ok(match read(node, &id).await? {
+            Found::Over(record) if record.is_done() => Checked { standing: Standing::Done, at },
+            Found::Over(_) => Checked { standing: Standing::Cancelled, at },
+            Found::Absent => Checked { standing: Standing::Absent, at },
+            Found::Live(row) => check_live(node, id, &row).await?,
+        })
+    })
+}
+
+async fn check_live(node: &Node, id: JobId, row: &Row) -> Result<Checked, StateError> {
+    let now = node.now();
+    let Some(record) = record(row) else { return Ok(Checked { standing: Standing::Live, at: now }) };
+    let standing = if record.spec.kind == Kind::Service { Standing::Service } else { Standing::Live };
+    if record.awaits.is_empty() {
+        return Ok(Checked { standing, at: now });
+    }
+    let within = Span::secs(node.settings.cluster.workers.cancel_s * RELIED_ON);
+    let known = node.lock().checked_pipelines.checked_at(&id, now, within);
+    if let Some(at) = known {
+        return Ok(Checked { standing, at });
+    }
+    let mut at = now;
+    for awaited in record.awaits {
+        let checked = check(node, awaited).await?;
+        if checked.standing == Standing::Cancelled {
+            return Ok(checked);
+        }
+        at = at.min(checked.at);
+    }
+    node.lock().checked_pipelines.put(id, at);
+    Ok(Checked { standing, at })
+}
+
+/// A live job's record; none: it can't be read.
+fn record(row: &Row) -> Option<LiveRecord> {
+    serde_json::from_value(row.value.clone()).ok()
+}
--- a/src/net/election.rs
+++ b/src/net/election.rs
@@ -5,6 +5,7 @@
 use super::peers;
 use super::state::StateError;
 use crate::core::leadership::{INITIALIZED_KEY, LEADER_KEY, LeaderRecord, Office, SUCCESSOR_KEY, YIELD};
+use crate::core::records::Ending;
 use crate::ids::{Revision, Term};
 use crate::peer::HelloAnswer;
 use crate::time::Span;
@@ -251,7 +252,7 @@
     heard_peers(&mut inner, &answers);
     let Some(l) = &mut inner.leader else { return false };
     for (_, cancelled) in promises.iter().flatten() {
-        cancelled.iter().for_each(|id| l.on_over(id));
+        cancelled.iter().for_each(|id| l.on_over(id, Ending::Cancelled));
     }
     // Without peers there is nobody to promise.
     let shortest = promises.iter().map(|p| p.as_ref().map_or(Span(0), |p| p.0)).min().unwrap_or_default();
--- a/src/net/leading.rs
+++ b/src/net/leading.rs
@@ -1,13 +1,15 @@
 //! The leader's work: loads the ledger, feeds it, and carries out what it asks for.
 
+use super::lookups;
 use super::node::Node;
 use super::peers;
 use super::state::{StateError, commit_result};
 use crate::config::Peer;
 use crate::core::fleet::FLEET;
-use crate::core::jobs::{BITS, LIVE};
 use crate::core::leader::{Action, CommitResult, Leader, OrdersResult, RentResult, Stored, TICK};
+
 use crate::core::leadership::{LEADER_KEY, LeaderRecord, should_hand_over};
+use crate::core::records::{BITS, Ending, LIVE};
 use crate::core::shares::SHARES_KEY;
 use crate::ids::{JobId, MachineId, Revision, Term};
 use crate::peer::HelloAnswer;
@@ -156,6 +158,11 @@
             let now = node.now();
             feed(&node, |l| l.on_plan(now, &peer, plan));
         }
+        Action::LookUp(ids) => {
+            let endings = lookups::endings(&node, &ids).await;
+            inform(&node, |leader, now| leader.on_looked_up(now, &endings));
+            feed(&node, |_| ());
+        }
         Action::Rent(request) => {
             let result = match acting {
                 true => node.cloud.rent(&node.http, now, &request).await,
@@ -234,7 +241,7 @@
                     let Some(id) = key.strip_prefix(LIVE).and_then(JobId::parse) else { continue };
                     match value {
                         Some((value, revision)) => l.on_live(&id, &value, Revision(revision)),
-                        None => l.on_over(&id),
+                        None => l.on_over(&id, Ending::Unknown),
                     }
                 }
             }
--- /dev/null
+++ b/src/net/lookups.rs
@@ -0,0 +1,74 @@
+//! What the state service holds of jobs: linearizable reads, and what this controller remembers of them.
+
+use super::node::Node;
+use super::state::StateError;
+use crate::core::records::{Ending, OverRecord, live_key, over_key};
+use crate::ids::{JobId, Revision};
+use crate::time::Span;
+use crate::wire::{JobPhase, Row};
+
+pub enum Found {
+    Absent,
+    Live(Row),
+    Over(OverRecord),
+}
+
+/// Users wait 2 s for the answer to a poll.
+pub const LOOK_UP_LIMIT: Span = Span(1_400);
+
+/// What the state service holds of a job now. A job goes from live to over and never back, so
+/// reading in this order misses nothing.
+pub async fn look_up(node: &Node, id: &JobId) -> Result<Found, StateError> {
+    in_time(node, read(node, id)).await
+}
+
+/// Some reading for a user, given up while the user still waits.
+pub async fn in_time<T>(node: &Node, reading: impl Future<Output = Result<T, StateError>>) -> Result<T, StateError> {
+    if node.state_is_silent() {
+        return Err(StateError::Unknown("silent for long".into()));
+    }
+    let limited = tokio::time::timeout(LOOK_UP_LIMIT.std(), reading).await;
+    limited.unwrap_or_else(|_| Err(StateError::Unknown("too slow".into())))
+}
+
+pub(super) async fn read(node: &Node, id: &JobId) -> Result<Found, StateError> {
+    let known = node.lock().finals.get(id);
+    if let Some(record) = known {
+        return Ok(Found::Over(record));
+    }
+    let live = node.served(node.state.get(&node.http, &live_key(id))).await;
+    if let Some(row) = live? {
+        return Ok(Found::Live(row));
+    }
+    let over = node.served(node.state.get(&node.http, &over_key(id))).await;
+    let Some(row) = over? else { return Ok(Found::Absent) };
+    let record: OverRecord = serde_json::from_value(row.value).map_err(|e| StateError::Unknown(e.to_string()))?;
+    note_over(node, id, record, Revision(row.revision));
+    Ok(Found::Over(record))
+}
+
+/// A user is about to be told how a job has ended. A leader must act on what it tells, even where its
+/// watch is late, and a leader that can't read it is told by promise.
+pub fn note_over(node: &Node, id: &JobId, record: OverRecord, revision: Revision) {
+    let mut inner = node.lock();
+    inner.finals.put(id, record);
+    if record.phase == JobPhase::Aborted {
+        inner.cancellations.tell(*id, revision);
+    }
+    if let Some(l) = &mut inner.leader {
+        l.on_over(id, record.ending());
+    }
+}
+
+/// Those of the jobs that are over, and how they have ended.
+pub async fn endings(node: &Node, ids: &[JobId]) -> Vec<(JobId, Ending)> {
+    let mut endings = Vec::new();
+    for id in ids {
+        match look_up(node, id).await {
+            Ok(Found::Over(record)) => endings.push((*id, record.ending())),
+            Ok(Found::Live(_) | Found::Absent) => {}
+            Err(_) => break,
+        }
+    }
+    endings
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! The edges: sockets and timers round the core.
 
+pub mod ancestors;
 pub mod bad_messages;
 pub mod cloud;
 pub mod detours;
@@ -7,6 +8,7 @@
 pub mod forwarding;
 pub mod http;
 pub mod leading;
+pub mod lookups;
 pub mod node;
 pub mod offloading;
 pub mod peers;
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -1,5 +1,6 @@
 //! What the tasks of one controller share.
 
+use super::ancestors::CheckedPipelines;
 use super::bad_messages::BadMessages;
 use super::cloud::CloudClient;
 use super::detours::{Detours, LeaderLost};
@@ -9,10 +10,10 @@
 use super::state::{StateClient, StateError};
 use crate::config::{Settings, Tuning};
 use crate::core::cancellations::Cancellations;
-use crate::core::jobs::OverRecord;
 use crate::core::leader::Leader;
 use crate::core::leadership::Leadership;
 use crate::core::overload::Overload;
+use crate::core::records::OverRecord;
 use crate::ids::JobId;
 use crate::peer::JobCount;
 use crate::time::{Mono, Span, Wall};
@@ -48,6 +49,8 @@
     pub types: Option<Vec<MachineType>>,
     pub finals: Finals,
     pub cancellations: Cancellations,
+    /// Waiting jobs, none of whose awaited jobs was cancelled at that time.
+    pub checked_pipelines: CheckedPipelines,
     pub counts: HashMap<JobId, JobCount>,
     pub user_requests: usize,
     pub refused_since: Option<Mono>,
@@ -152,6 +155,7 @@
             types: None,
             finals: Finals { map: HashMap::new(), order: VecDeque::new() },
             cancellations: Cancellations::default(),
+            checked_pipelines: CheckedPipelines::default(),
             counts: HashMap::new(),
             user_requests: 0,
             refused_since: None,
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -4,6 +4,7 @@
 use super::node::Node;
 use crate::config::Peer;
 use crate::core::miser;
+use crate::core::records::Ending;
 use crate::ids::{JobId, Revision, Term};
 use crate::peer::{Hello, HelloAnswer, PlanInput, PlanOutput, VERSION};
 use crate::time::Span;
@@ -67,7 +68,7 @@
     let hello = Hello::decode(body).ok().filter(|h| h.version == VERSION)?;
     let cancelled = jobs(&hello.cancelled)?;
     if !cancelled.is_empty() {
-        leading::feed(node, |l| cancelled.iter().for_each(|id| l.on_over(id)));
+        leading::feed(node, |l| cancelled.iter().for_each(|id| l.on_over(id, Ending::Cancelled)));
     }
     let now = node.now();
     let mut guard = node.lock();
--- a/src/net/users.rs
+++ b/src/net/users.rs
@@ -1,15 +1,16 @@
 //! Submissions, polls and cancellations. Any controller takes them; what it says comes from a
 //! committed write or a linearizable read, so no controller gives an older answer than another.
 
+use super::ancestors::{self, Standing};
+use super::lookups::{Found, look_up, note_over};
 use super::node::Node;
 use super::peers;
 use super::state::StateError;
-use crate::core::jobs::{
-    LiveRecord, OverRecord, Refusal, absent_guards, check_possible, live_key, over_key, parse_submission,
-};
+use crate::core::records::{LiveRecord, OverRecord, absent_guards, live_key, over_key};
+use crate::core::submissions::{Refusal, Submission, check_possible, never_accepted, parse_submission};
 use crate::ids::{JobId, Revision};
 use crate::time::Span;
-use crate::wire::{Change, Guard, JobAnswer, JobPhase, JobSpec, Row, Txn};
+use crate::wire::{Change, Guard, JobAnswer, JobPhase, Row, Txn};
 use serde_json::json;
 use std::sync::Arc;
 
@@ -48,51 +49,6 @@
     }
 }
 
-enum Found {
-    Absent,
-    Live(Row),
-    Over(OverRecord),
-}
-
-/// Users wait 2 s for the answer to a poll.
-const LOOK_UP: Span = Span(1_400);
-
-/// What the state service holds of a job now. A job goes from live to over and never back, so
-/// reading in this order misses nothing.
-async fn look_up(node: &Node, id: &JobId) -> Result<Found, StateError> {
-    if node.state_is_silent() {
-        return Err(StateError::Unknown("silent for long".into()));
-    }
-    tokio::time::timeout(LOOK_UP.std(), read(node, id))
-        .await
-        .unwrap_or_else(|_| Err(StateError::Unknown("too slow".into())))
-}
-
-/// A user is about to be told how a job has ended. A leader must act on what it tells, even where its
-/// watch is late, and a leader that can't read it is told by promise.
-fn note_over(node: &Node, id: &JobId, record: OverRecord, revision: Revision) {
-    let mut inner = node.lock();
-    inner.finals.put(id, record);
-    if record.phase == JobPhase::Aborted {
-        inner.cancellations.tell(*id, revision);
-    }
-    if let Some(l) = &mut inner.leader {
-        l.on_over(id);
-    }
-}
-
-async fn read(node: &Node, id: &JobId) -> Result<Found, StateError> {
-    let live = node.served(node.state.get(&node.http, &live_key(id))).await;
-    if let Some(row) = live? {
-        return Ok(Found::Live(row));
-    }
-    let over = node.served(node.state.get(&node.http, &over_key(id))).await;
-    let Some(row) = over? else { return Ok(Found::Absent) };
-    let record: OverRecord = serde_json::from_value(row.value).map_err(|e| StateError::Unknown(e.to_string()))?;
-    note_over(node, id, record, Revision(row.revision));
-    Ok(Found::Over(record))
-}
-
 fn live_reply(node: &Node, id: &JobId) -> Reply {
     let inner = node.lock();
     let count = inner.counts.get(id);
@@ -121,9 +77,31 @@
     }
 }
 
-pub async fn submit(node: &Node, body: &[u8]) -> Reply {
+/// Why a submission isn't accepted, unless the job is known already.
+enum Rejection {
+    Refused(Refusal),
+    /// It can't be said now.
+    Later(&'static str),
+}
+
+impl From<StateError> for Rejection {
+    fn from(_: StateError) -> Rejection {
+        Rejection::Later(OUT_OF_REACH)
+    }
+}
+
+const OUT_OF_REACH: &str = "the state service is out of reach";
+
+/// What is to be stored of an accepted job.
+enum Accepted {
+    Live(Box<LiveRecord>),
+    /// It names a job that is cancelled, and is cancelled with it.
+    Cancelled(OverRecord),
+}
+
+pub async fn submit(node: &Arc<Node>, body: &[u8]) -> Reply {
     let Some(_admission) = Admission::new(node) else { return Reply::later("too many requests under way") };
-    let (id, spec) = match parse_submission(body) {
+    let (id, submission) = match parse_submission(body) {
         Ok(x) => x,
         Err(r) => return Reply::refusal(r),
     };
@@ -131,42 +109,82 @@
     if let Some(r) = known {
         return Reply::over(&id, r);
     }
-    let types = node.lock().types.clone();
-    let checked: Result<JobSpec, Option<Refusal>> = match (spec, &types) {
-        (Err(r), _) => Err(Some(r)),
-        (Ok(_), None) => Err(None),
-        (Ok(s), Some(t)) => match check_possible(&s, &node.settings.cluster.teams, t) {
-            Ok(()) => Ok(s),
-            Err(r) => Err(Some(r)),
-        },
+    let accepted = match submission {
+        Ok(submission) => accept(node, submission).await,
+        Err(refusal) => Err(Rejection::Refused(refusal)),
     };
-    let spec = match checked {
-        Ok(s) => s,
-        Err(refusal) => {
-            return match (look_up(node, &id).await, refusal) {
-                (Ok(Found::Over(r)), _) => Reply::over(&id, r),
-                (Ok(Found::Live(_)), _) => live_reply(node, &id),
-                (Ok(Found::Absent), Some(r)) => Reply::refusal(r),
-                (Ok(Found::Absent), None) => Reply::later("machine types are not known yet"),
-                (Err(_), _) => Reply::later("the state service is out of reach"),
-            };
+    match accepted {
+        Ok(accepted) => store(node, &id, accepted).await,
+        Err(rejection) => match (look_up(node, &id).await, rejection) {
+            (Ok(Found::Over(r)), _) => Reply::over(&id, r),
+            (Ok(Found::Live(row)), _) => describe_live(node, &id, row).await,
+            (Ok(Found::Absent), Rejection::Refused(r)) => Reply::refusal(r),
+            (Ok(Found::Absent), Rejection::Later(why)) => Reply::later(why),
+            (Err(_), _) => Reply::later(OUT_OF_REACH),
+        },
+    }
+}
+
+/// Checks a submission whose job isn't known to be over.
+async fn accept(node: &Node, submission: Submission) -> Result<Accepted, Rejection> {
+    let Submission { spec, awaits } = submission;
+    let types = node.lock().types.clone().ok_or(Rejection::Later("machine types are not known yet"))?;
+    check_possible(&spec, &node.settings.cluster.teams, &types).map_err(Rejection::Refused)?;
+    let mut record = LiveRecord { at: node.wall(), spec, awaits };
+    if json!(record).to_string().len() > node.settings.cluster.state.value_bytes() {
+        let too_large = "the job takes more than the state service holds in a value".to_string();
+        return Err(Rejection::Refused(Refusal::Impossible(too_large)));
+    }
+    let mut live = Vec::new();
+    for awaited in std::mem::take(&mut record.awaits) {
+        match ancestors::standing(node, &awaited).await? {
+            Standing::Done => {}
+            Standing::Live => live.push(awaited),
+            Standing::Cancelled => return Ok(Accepted::Cancelled(OverRecord::cancelled(record.spec.tasks))),
+            Standing::Absent => return Err(Rejection::Refused(never_accepted(&awaited))),
+            Standing::Service => {
+                let endless = format!("awaits {awaited}, a service, which is never done");
+                return Err(Rejection::Refused(Refusal::Impossible(endless)));
+            }
         }
+    }
+    record.awaits = live;
+    Ok(Accepted::Live(Box::new(record)))
+}
+
+/// Makes an accepted job durable, and then tells its user.
+async fn store(node: &Arc<Node>, id: &JobId, accepted: Accepted) -> Reply {
+    let (key, value) = match &accepted {
+        Accepted::Live(record) => (live_key(id), json!(record)),
+        Accepted::Cancelled(record) => (over_key(id), json!(record)),
     };
-    let record = json!(LiveRecord { at: node.wall(), spec });
-    let txn = Txn { guards: absent_guards(&id), apply: vec![Change::write(live_key(&id), record.clone())] };
-    match commit(node, &txn).await {
-        Ok(Ok(epoch)) => {
+    let txn = Txn { guards: absent_guards(id), apply: vec![Change::write(key, value.clone())] };
+    match (commit(node, &txn).await, accepted) {
+        (Ok(Ok(epoch)), Accepted::Live(_)) => {
             if let Some(l) = &mut node.lock().leader {
-                l.on_live(&id, &record, Revision(epoch));
+                l.on_live(id, &value, Revision(epoch));
             }
-            Reply::job(201, &id, JobPhase::Queued, None, None)
+            Reply::job(201, id, JobPhase::Queued, None, None)
+        }
+        (Ok(Ok(epoch)), Accepted::Cancelled(record)) => {
+            note_over(node, id, record, Revision(epoch));
+            Reply::job(201, id, record.phase, None, None)
         }
-        Ok(Err(_)) => match look_up(node, &id).await {
-            Ok(Found::Over(r)) => Reply::over(&id, r),
-            Ok(Found::Live(_)) => live_reply(node, &id),
-            _ => Reply::later("the state service is out of reach"),
+        (Ok(Err(_)), _) => match look_up(node, id).await {
+            Ok(Found::Over(r)) => Reply::over(id, r),
+            Ok(Found::Live(row)) => describe_live(node, id, row).await,
+            _ => Reply::later(OUT_OF_REACH),
         },
-        Err(_) => Reply::later("the state service is out of reach"),
+        (Err(_), _) => Reply::later(OUT_OF_REACH),
+    }
+}
+
+/// The answer about a job that is live by a reading just made.
+async fn describe_live(node: &Arc<Node>, id: &JobId, row: Row) -> Reply {
+    match ancestors::needs_cancelled(node, id, &row).await {
+        Ok(false) => live_reply(node, id),
+        Ok(true) => cancel(node, id, row).await,
+        Err(_) => Reply::later(OUT_OF_REACH),
     }
 }
 
@@ -187,7 +205,7 @@
     }
 }
 
-pub async fn poll(node: &Node, id: &str) -> Reply {
+pub async fn poll(node: &Arc<Node>, id: &str) -> Reply {
     let Some(id) = JobId::parse(id) else { return Reply::error(404, "no such job") };
     let known = node.lock().finals.get(&id);
     if let Some(r) = known {
@@ -196,9 +214,9 @@
     let Some(_admission) = Admission::new(node) else { return Reply::later("too many requests under way") };
     match look_up(node, &id).await {
         Ok(Found::Over(r)) => Reply::over(&id, r),
-        Ok(Found::Live(_)) => live_reply(node, &id),
+        Ok(Found::Live(row)) => describe_live(node, &id, row).await,
         Ok(Found::Absent) => Reply::error(404, "no such job"),
-        Err(_) => Reply::later("the state service is out of reach"),
+        Err(_) => Reply::later(OUT_OF_REACH),
     }
 }
 
@@ -209,34 +227,48 @@
         return Reply::over(&id, r);
     }
     let Some(_admission) = Admission::new(node) else { return Reply::later("too many requests under way") };
-    for _ in 0..3 {
-        let row = match look_up(node, &id).await {
-            Ok(Found::Live(row)) => row,
-            Ok(Found::Over(r)) => return Reply::over(&id, r),
-            Ok(Found::Absent) => return Reply::error(404, "no such job"),
-            Err(_) => break,
-        };
+    match look_up(node, &id).await {
+        Ok(Found::Live(row)) => cancel(node, &id, row).await,
+        Ok(Found::Over(r)) => Reply::over(&id, r),
+        Ok(Found::Absent) => Reply::error(404, "no such job"),
+        Err(_) => Reply::later(OUT_OF_REACH),
+    }
+}
+
+/// Most tries to cancel a job that changes meanwhile.
+const CANCEL_TRIES: usize = 3;
+
+/// Cancels a job that was live a moment ago, unless it has ended since.
+async fn cancel(node: &Arc<Node>, id: &JobId, row: Row) -> Reply {
+    let mut row = row;
+    for _ in 0..CANCEL_TRIES {
         // A record that can't be read is never overwritten.
         let Ok(live) = serde_json::from_value::<LiveRecord>(row.value) else {
             return Reply::later("the job's record can't be read");
         };
-        let over = OverRecord { phase: JobPhase::Aborted, tasks: live.spec.tasks };
+        let over = OverRecord::cancelled(live.spec.tasks);
         let txn = Txn {
-            guards: vec![Guard { path: live_key(&id), revision: row.revision }],
-            apply: vec![Change::drop(live_key(&id)), Change::write(over_key(&id), json!(over))],
+            guards: vec![Guard { path: live_key(id), revision: row.revision }],
+            apply: vec![Change::drop(live_key(id)), Change::write(over_key(id), json!(over))],
         };
         match commit(node, &txn).await {
             Ok(Ok(revision)) => {
-                note_over(node, &id, over, Revision(revision));
-                peers::tell_leader(node, &id);
-                return Reply::over(&id, over);
+                note_over(node, id, over, Revision(revision));
+                peers::tell_leader(node, id);
+                return Reply::over(id, over);
             }
             // It changed meanwhile: done, or cancelled by another.
             Ok(Err(_)) => {}
             Err(_) => break,
         }
+        match look_up(node, id).await {
+            Ok(Found::Live(changed)) => row = changed,
+            Ok(Found::Over(r)) => return Reply::over(id, r),
+            Ok(Found::Absent) => return Reply::error(404, "no such job"),
+            Err(_) => break,
+        }
     }
-    Reply::later("the state service is out of reach")
+    Reply::later(OUT_OF_REACH)
 }
 
 /// Whether the load balancer should send users here.
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -251,6 +251,9 @@
     /// How many of its class's aims it can't meet any more.
     #[prost(uint32, tag = "28")]
     pub missed: u32,
+    /// The part of its rank that comes from the jobs that need it (eq. 1), in seconds.
+    #[prost(double, tag = "29")]
+    pub successors_s: f64,
 }
 
 #[derive(Clone, PartialEq, Message)]
