--- a/src/net/loopback.rs
+++ b/src/net/loopback.rs
@@ -1,5 +1,7 @@
 //! One controller on loopback against stand-ins of the state service, the cloud and a worker.
 
+mod pipelines;
+
 use super::http::Http;
 use super::node::Node;
 use super::{detours, election, forwarding, leading, peers, server};
