--- a/src/core/done_sets.rs
+++ b/src/core/done_sets.rs
@@ -95,7 +95,7 @@
 
     /// The tasks of a set that are in this row.
     pub fn members<'a>(&'a self, set: &'a FixedBitSet) -> impl Iterator<Item = usize> + 'a {
-        set.ones().filter(|task| self.tasks.contains(task))
+        self.tasks.clone().filter(|task| set.contains(*task))
     }
 
     /// Whether two sets differ in this row.
--- a/src/core/leader/awaited.rs
+++ b/src/core/leader/awaited.rs
@@ -49,8 +49,12 @@
     pub(super) fn inherit(&mut self, wall: Wall) {
         let mut inherited = self.pipelines.inherit(|id| self.stage(wall, id));
         for (id, job) in &mut self.jobs {
+            let before = job.priority();
             job.inherited = inherited.remove(id);
             let priority = job.priority();
+            if priority == before {
+                continue;
+            }
             for (index, machine, attempt) in job.places() {
                 let key = (TaskId { job: *id, index }, attempt);
                 if let Some(slot) = self.machines.get_mut(machine).and_then(|m| m.slots.get_mut(&key)) {
--- a/src/net/ancestors.rs
+++ b/src/net/ancestors.rs
@@ -53,32 +53,36 @@
 
 /// How a job stands to the jobs that await it, by readings that are fresh enough to tell users.
 pub async fn standing(node: &Node, id: &JobId) -> Result<Standing, StateError> {
-    in_time(node, check(node, *id)).await.map(|checked| checked.standing)
+    in_time(node, check(node, *id, MAX_STEPS)).await.map(|checked| checked.standing)
 }
 
+/// Longer chains of waiting jobs aren't followed to their end, as each step costs a reading: further up it
+/// is the leader alone that cancels.
+const MAX_STEPS: u32 = 64;
+
 /// Whether a live job has to be cancelled, as one that it needs is.
 pub async fn needs_cancelled(node: &Node, id: &JobId, row: &Row) -> Result<bool, StateError> {
-    let checked = in_time(node, check_live(node, *id, row)).await?;
+    let checked = in_time(node, check_live(node, *id, row, MAX_STEPS)).await?;
     Ok(checked.standing == Standing::Cancelled)
 }
 
-fn check(node: &Node, id: JobId) -> Pin<Box<dyn Future<Output = Result<Checked, StateError>> + Send + '_>> {
+fn check(node: &Node, id: JobId, steps: u32) -> Pin<Box<dyn Future<Output = Result<Checked, StateError>> + Send + '_>> {
     Box::pin(async move {
         let at = node.now();
         Ok(match read(node, &id).await? {
             Found::Over(record) if record.is_done() => Checked { standing: Standing::Done, at },
             Found::Over(_) => Checked { standing: Standing::Cancelled, at },
             Found::Absent => Checked { standing: Standing::Absent, at },
-            Found::Live(row) => check_live(node, id, &row).await?,
+            Found::Live(row) => check_live(node, id, &row, steps).await?,
         })
     })
 }
 
-async fn check_live(node: &Node, id: JobId, row: &Row) -> Result<Checked, StateError> {
+async fn check_live(node: &Node, id: JobId, row: &Row, steps: u32) -> Result<Checked, StateError> {
     let now = node.now();
     let Some(record) = record(row) else { return Ok(Checked { standing: Standing::Live, at: now }) };
     let standing = if record.spec.kind == Kind::Service { Standing::Service } else { Standing::Live };
-    if record.awaits.is_empty() {
+    if record.awaits.is_empty() || steps == 0 {
         return Ok(Checked { standing, at: now });
     }
     let within = Span::secs(node.settings.cluster.workers.cancel_s * RELIED_ON);
@@ -88,7 +92,7 @@
     }
     let mut at = now;
     for awaited in record.awaits {
-        let checked = check(node, awaited).await?;
+        let checked = check(node, awaited, steps - 1).await?;
         if checked.standing == Standing::Cancelled {
             return Ok(checked);
         }
