Reports behind an unanswered batch are sent to a peer that reaches the leader at once

Cause: with oulu and espoo parted and the leader in espoo, controllers in oulu waited 1.8 s for the batch under way, then sent what had gathered behind it in a second one; those workers had given up after 4 s, went on to controllers beyond the cut, and their leases ran out (log lines of 285 to 296 s: batches of 7 to 158 reports unanswered twice, then 'new session'). Ruled out: the crash of the leader at 245 s, as the next one is in office within a second. Change: after an unanswered batch peers are asked at once which of them reaches the leader; its workers and those that wait behind it are sent there. The test fails without the second half.

--- a/src/net/detours.rs
+++ b/src/net/detours.rs
@@ -6,7 +6,6 @@
 use super::peers;
 use crate::time::Span;
 use std::sync::Arc;
-use tokio::sync::Notify;
 
 /// Peers are asked this often while the leader can't be reached.
 const ASK_INTERVAL: Span = Span(1_000);
@@ -32,19 +31,21 @@
     }
 }
 
-/// Wakes the task that looks for detours.
-pub type LeaderLost = Notify;
-
-/// Looks for detours whenever another controller leads and can't be reached, for as long as the process
+/// Looks for detours at regular intervals whenever another controller leads and can't be reached, for as long as the process
 /// runs.
 pub async fn run(node: Arc<Node>) {
     loop {
-        let _ = tokio::time::timeout(ASK_INTERVAL.std(), node.leader_lost.notified()).await;
-        let names = if needs_detours(&node) { ask_peers(&node).await } else { Vec::new() };
-        node.lock().detours.set(names);
+        tokio::time::sleep(ASK_INTERVAL.std()).await;
+        look_for(&node).await;
     }
 }
 
+/// Asks the peers for detours, if they are needed now.
+pub async fn look_for(node: &Arc<Node>) {
+    let names = if needs_detours(node) { ask_peers(node).await } else { Vec::new() };
+    node.lock().detours.set(names);
+}
+
 fn needs_detours(node: &Node) -> bool {
     let now = node.now();
     let inner = node.lock();
--- a/src/net/forwarding.rs
+++ b/src/net/forwarding.rs
@@ -3,6 +3,7 @@
 //! its report. It decides nothing itself: to the worker and to the leader's ledger a forwarded report is
 //! one that took a longer way, which may be lost, late or delivered after a newer one like any other.
 
+use super::detours;
 use super::node::Node;
 use super::peers;
 use crate::ids::Term;
@@ -156,7 +157,7 @@
     }
 }
 
-async fn send_batch(node: &Node, leader: &HeardLeader, waiting: Vec<WaitingReport>) {
+async fn send_batch(node: &Arc<Node>, leader: &HeardLeader, waiting: Vec<WaitingReport>) {
     let reports = waiting.iter().map(|w| w.report.clone()).collect();
     let batch = ReportBatch { version: VERSION, reports, from: node.settings.name.clone() };
     let decisions = ask_leader(node, &leader.name, &batch).await;
@@ -164,7 +165,11 @@
     node.lock().forwarding.sent(leader.term, decisions.is_some());
     let Some(decisions) = decisions else {
         log::debug!("{} has not answered a batch of reports={}", leader.name, waiting.len());
-        node.leader_lost.notify_one();
+        // The workers are told where to try next, as going round all controllers takes longer than a lease
+        // where some of them can't be reached either. So are those whose reports have come meanwhile: another
+        // batch would only wait as long.
+        detours::look_for(node).await;
+        drop(node.lock().forwarding.take_waiting());
         return;
     };
     for (waiting, decision) in waiting.into_iter().zip(decisions) {
--- a/src/net/forwarding/tests.rs
+++ b/src/net/forwarding/tests.rs
@@ -1,4 +1,9 @@
 use super::*;
+use crate::config::Peer;
+use crate::net::loopback::{World, free_addr, pair, start};
+use crate::net::server;
+use serde_json::json;
+use std::sync::Mutex;
 
 const HEARD: Mono = Mono(10_000);
 
@@ -67,3 +72,41 @@
     assert!(forwarding.admit(large, HEARD).is_some());
     assert!(forwarding.admit(Bytes::new(), HEARD).is_none(), "too many bytes wait");
 }
+
+#[tokio::test]
+async fn what_waits_behind_an_unanswered_batch_is_sent_to_a_peer_that_reaches_the_leader() {
+    // Two zones could not reach each other: the first reports waited for one time limit and those behind them
+    // for two, and the workers then went round controllers beyond the cut until their leases ran out.
+    let world = Arc::new(Mutex::new(World::default()));
+    let [(detour, _), (other, _)] = pair(&world);
+    tokio::spawn(server::serve(detour.settings.peer_listen, server::internal(&detour), 64));
+    // The leader's machine is silent: it takes connections, and says nothing.
+    let silent = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut settings = other.settings.clone();
+    settings.name = "plinth-8".into();
+    settings.peers.push(Peer { name: "plinth-9".into(), addr: silent.local_addr().unwrap(), zone: String::new() });
+    settings.peer_listen = free_addr();
+    let (node, client) = start(&world, settings);
+    let client = Arc::new(client);
+    tokio::time::sleep(Span(200).std()).await;
+    node.lock().leader_name = Some("plinth-9".into());
+    for node in [&detour, &node] {
+        let now = node.now();
+        let mut inner = node.lock();
+        inner.forwarding.heard_leader("plinth-9", Term(5), now);
+        inner.forwarding.sent(Term(5), true);
+    }
+    let begun = std::time::Instant::now();
+    let mut answers = Vec::new();
+    for _ in 0..3 {
+        let report = world.lock().unwrap().report();
+        let client = client.clone();
+        answers.push(tokio::spawn(async move { client.post("/v1/report", report).await }));
+        // Each comes while the batch before it is under way.
+        tokio::time::sleep(Span(500).std()).await;
+    }
+    for answer in answers {
+        assert_eq!(answer.await.unwrap(), (421, json!({"steward": detour.settings.name})));
+    }
+    assert!(begun.elapsed() < (BATCH_LIMIT + Span(1_000)).std(), "one time limit, not two");
+}
--- a/src/net/loopback.rs
+++ b/src/net/loopback.rs
@@ -20,7 +20,7 @@
 use std::sync::{Arc, Mutex};
 
 #[derive(Default)]
-struct World {
+pub(super) struct World {
     store: BTreeMap<String, (Value, u64)>,
     /// All changes, to be followed.
     log: Vec<(String, u64, Value)>,
@@ -72,7 +72,7 @@
         json!({"epoch": self.epoch, "log": log})
     }
 
-    fn report(&mut self) -> Value {
+    pub(super) fn report(&mut self) -> Value {
         self.sequence += 1;
         json!({"plinth": "m-000001", "endpoint": self.worker, "build": "g8", "quay": "a", "loaner": false,
             "shift": 1, "tally": self.sequence, "baton": self.token, "warn_s": null,
@@ -158,7 +158,7 @@
     }
 }
 
-fn free_addr() -> SocketAddr {
+pub(super) fn free_addr() -> SocketAddr {
     std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).unwrap()
 }
 
@@ -169,7 +169,7 @@
     addr
 }
 
-struct Client {
+pub(super) struct Client {
     http: Http,
     addr: String,
 }
@@ -180,7 +180,7 @@
             self.http.call(method, &self.addr, path, body.to_string().into(), Span(3_000)).await.unwrap();
         (status, serde_json::from_slice(&body).unwrap_or_default())
     }
-    async fn post(&self, path: &str, body: Value) -> (u16, Value) {
+    pub(super) async fn post(&self, path: &str, body: Value) -> (u16, Value) {
         self.call(Method::POST, path, body).await
     }
     async fn get(&self, path: &str) -> (u16, Value) {
@@ -217,7 +217,7 @@
     start(world, settings)
 }
 
-fn start(world: &Arc<Mutex<World>>, mut settings: Settings) -> (Arc<Node>, Client) {
+pub(super) fn start(world: &Arc<Mutex<World>>, mut settings: Settings) -> (Arc<Node>, Client) {
     settings.listen = free_addr();
     settings.services.state = stand_in(world, Part::State(settings.name.clone()));
     settings.services.cloud = stand_in(world, Part::Cloud);
@@ -231,7 +231,7 @@
 }
 
 /// Two controllers that know each other. The first hears no words of the other's own accord.
-fn pair(world: &Arc<Mutex<World>>) -> [(Arc<Node>, Client); 2] {
+pub(super) fn pair(world: &Arc<Mutex<World>>) -> [(Arc<Node>, Client); 2] {
     let mut first = sample_settings();
     first.peers.truncate(1);
     let mut second = sample_settings();
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -3,7 +3,7 @@
 use super::ancestors::CheckedPipelines;
 use super::bad_messages::BadMessages;
 use super::cloud::CloudClient;
-use super::detours::{Detours, LeaderLost};
+use super::detours::Detours;
 use super::forwarding::{Forwarding, ReportWaits};
 use super::http::Http;
 use super::offloading::Offloading;
@@ -34,8 +34,6 @@
     pub incarnation: u64,
     /// Says that a report waits to be passed on to the leader.
     pub report_waits: ReportWaits,
-    /// Says that the leader can't be reached any more.
-    pub leader_lost: LeaderLost,
     started: Instant,
     inner: Mutex<Inner>,
 }
@@ -181,7 +179,6 @@
             cloud,
             incarnation: rand::random::<u64>() >> 1,
             report_waits: ReportWaits::default(),
-            leader_lost: LeaderLost::default(),
             started: Instant::now(),
             inner: Mutex::new(inner),
         })
--- a/src/net/reports.rs
+++ b/src/net/reports.rs
@@ -46,7 +46,7 @@
     }
     match forwarding::forward(node, body.clone()).await {
         Forwarded::Decided(decision) => decision,
-        Forwarded::Unanswered => redirect(None),
+        Forwarded::Unanswered => redirect(node.lock().detours.take_turn().as_deref()),
         Forwarded::Unavailable => answer_directly(node, body),
     }
 }
