--- a/src/net/loopback/pipelines.rs
+++ b/src/net/loopback/pipelines.rs
@@ -93,6 +93,8 @@
         assert_eq!((status, &answer["phase"]), (201, &json!("aborted")));
         assert_eq!(client.get(&format!("/api/jobs/{id}")).await.1["phase"], "aborted");
     }
+    // One that was never accepted outweighs one that is cancelled.
+    assert_eq!(other.post("/api/jobs", after("req-000009", json!(["req-000001", "req-999999"]))).await.0, 422);
     // What doesn't need it goes on.
     assert_eq!(other.get("/api/jobs/req-000006").await.1["phase"], "queued");
 }
--- a/src/net/users.rs
+++ b/src/net/users.rs
@@ -136,11 +136,13 @@
         return Err(Rejection::Refused(Refusal::Impossible(too_large)));
     }
     let mut live = Vec::new();
+    let mut is_cancelled = false;
+    // All of them are looked at, as one that was never accepted outweighs one that is cancelled.
     for awaited in std::mem::take(&mut record.awaits) {
         match ancestors::standing(node, &awaited).await? {
             Standing::Done => {}
             Standing::Live => live.push(awaited),
-            Standing::Cancelled => return Ok(Accepted::Cancelled(OverRecord::cancelled(record.spec.tasks))),
+            Standing::Cancelled => is_cancelled = true,
             Standing::Absent => return Err(Rejection::Refused(never_accepted(&awaited))),
             Standing::Service => {
                 let endless = format!("awaits {awaited}, a service, which is never done");
@@ -148,6 +150,9 @@
             }
         }
     }
+    if is_cancelled {
+        return Ok(Accepted::Cancelled(OverRecord::cancelled(record.spec.tasks)));
+    }
     record.awaits = live;
     Ok(Accepted::Live(Box::new(record)))
 }
