--- a/src/core/leader/mod.rs
+++ b/src/core/leader/mod.rs
@@ -496,7 +496,6 @@
         for id in over {
             self.on_over(&id, Ending::Unknown);
         }
-        self.pipelines.recheck(|id| self.jobs.contains_key(id));
     }
 
     /// The job is over: done, or cancelled by its user. Whatever of it is on machines must go.
--- a/src/core/leader/tests/pipelines.rs
+++ b/src/core/leader/tests/pipelines.rs
@@ -37,6 +37,10 @@
     let mut rig = Rig::new(2);
     let [first, second, last] = chain(&mut rig);
     assert_eq!((rig.runs(&first), rig.runs(&second), rig.runs(&last)), (1, 1, 0));
+    // Whoever has planned it.
+    let free = MachineId::parse("m-000001").unwrap();
+    assert!(!rig.leader.may_place(Mono(rig.now), &last, &free, 1.0));
+    assert!(rig.leader.may_place(Mono(rig.now), &first, &free, 1.0));
     // All tasks are done, but the leader's writes aren't answered: nothing is known to be durable.
     rig.unanswered = Some(Vec::new());
     finish_all(&mut rig);
@@ -142,3 +146,16 @@
     rig.run(3_000);
     assert_eq!(rig.runs(&first), 1);
 }
+
+#[test]
+fn an_end_that_the_watch_has_missed_is_looked_up() {
+    let mut rig = Rig::new(2);
+    let [first, second, last] = chain(&mut rig);
+    rig.cancel(&first);
+    rig.store.insert(over_key(&first), (json!(OverRecord::cancelled(1)), 300));
+    let rows = rig.store.iter().filter(|(key, _)| key.starts_with(LIVE));
+    let rows = rows.map(|(key, v)| Row { path: key.clone(), value: v.0.clone(), revision: v.1 }).collect();
+    rig.leader.reload_live(rows, 400);
+    rig.run(2_000);
+    assert_eq!((rig.ending(&last), rig.ending(&second)), (Some(Ending::Cancelled), None));
+}
--- a/src/core/pipelines.rs
+++ b/src/core/pipelines.rs
@@ -118,12 +118,6 @@
         self.successors.contains_key(id)
     }
 
-    /// Changes have been missed: what is awaited and not live any more has ended unseen.
-    pub fn recheck(&mut self, is_live: impl Fn(&JobId) -> bool) {
-        let ended = self.successors.keys().filter(|id| !is_live(id));
-        self.unresolved.extend(ended);
-    }
-
     /// The next jobs to ask the state service about; all get their turn.
     pub fn next_unresolved(&mut self, most: usize) -> Vec<JobId> {
         let after = self.asked_last.map_or(Bound::Unbounded, Bound::Excluded);
