--- a/src/core/election_model.rs
+++ b/src/core/election_model.rs
@@ -1,4 +1,4 @@
-//! Several controllers that run for office, hold on and pass on cancellations, against a slow plain
+//! Several controllers that run for leader, hold on and pass on cancellations, against a slow plain
 //! model of the state service, the users and one worker for each job. It checks at every step that at
 //! most one of them acts, and that a cancelled task is gone in time.
 
@@ -29,7 +29,7 @@
     stalled_until: u64,
     next_look: u64,
     next_read: u64,
-    /// What it knows, in office, to be cancelled.
+    /// What it knows, as leader, to be cancelled.
     known: BTreeSet<JobId>,
     loaded: bool,
 }
@@ -169,15 +169,15 @@
             c.cancellations.at_revision(Revision(self.revision));
         }
         let asked_at = c.clock(now.saturating_sub(30));
-        if let Some(office) = c.leadership.office() {
+        if let Some(leader_lease) = c.leadership.lease() {
             c.next_look = now + 600;
             if served {
-                match self.leases.get_mut(&office.lease.0) {
+                match self.leases.get_mut(&leader_lease.id.0) {
                     Some(end) => {
                         *end = (*end).max(now + TTL);
                         c.leadership.renewed(asked_at);
                     }
-                    None => c.leadership.lost_office(),
+                    None => c.leadership.step_down(),
                 }
             } else {
                 c.next_look = now + 100;
@@ -202,7 +202,7 @@
                 let lease = self.revision;
                 self.leases.insert(lease, now + TTL);
                 self.key = Some((n, lease));
-                c.leadership.took_office(Term(lease), LeaseId(lease), asked_at);
+                c.leadership.elected(Term(lease), LeaseId(lease), asked_at);
                 c.loaded = false;
                 c.next_read = now + 200;
             }
@@ -212,14 +212,14 @@
 
     fn hold_on(&mut self, n: usize) {
         let c = &self.controllers[n];
-        let Some(office) = c.leadership.office().filter(|_| c.loaded) else { return };
+        let Some(leader_lease) = c.leadership.lease().filter(|_| c.loaded) else { return };
         let mut promises = Vec::new();
         for p in (0..NODES).filter(|p| *p != n) {
             let cut = self.now < self.controllers[n].cut_until.max(self.controllers[p].cut_until);
             let lost = cut || self.rng.random::<f64>() < 0.02;
             let c = &mut self.controllers[p];
             let clock = c.clock(self.now);
-            let promise = c.leadership.promise_to(clock, office.term, office.read_to, &c.cancellations);
+            let promise = c.leadership.promise_to(clock, leader_lease.term, leader_lease.read_to, &c.cancellations);
             promises.push(promise.filter(|_| !lost && self.now >= c.frozen_until).map(|p| (p.span, p.cancelled)));
         }
         let at = self.now + self.rng.random_range(1..700);
@@ -253,7 +253,7 @@
             // The process that was asked must still be there to tell.
             if c.began == began && now >= c.frozen_until {
                 c.cancellations.tell(job, Revision(revision));
-                if c.leadership.office().is_some() {
+                if c.leadership.lease().is_some() {
                     c.known.insert(job);
                 }
                 self.told.entry(job).or_insert(now);
@@ -265,7 +265,7 @@
         let served = self.served(n);
         let now = self.now;
         let c = &mut self.controllers[n];
-        if c.leadership.office().is_none() || now < c.next_read || now < c.stalled_until || !served {
+        if c.leadership.lease().is_none() || now < c.next_read || now < c.stalled_until || !served {
             return;
         }
         if !c.loaded {
--- a/src/core/leader/machines.rs
+++ b/src/core/leader/machines.rs
@@ -61,7 +61,7 @@
         let lease = self.p.lease.stretched() + Span(300);
         let mut dead = Vec::new();
         for (id, m) in &mut self.machines {
-            // Before this leader, answers may have been given until it took office.
+            // Before this leader, answers may have been given until it was elected.
             let answered = m.last_report.max(self.since);
             if now - answered.max(m.session_heard_at) <= lease {
                 continue;
@@ -170,7 +170,7 @@
     }
 
     /// Where many machines are silent at once: it is rather a cut, a peer that has ended or a leader just
-    /// come to office than dead machines.
+    /// elected than dead machines.
     fn many_silent(&self, now: Mono) -> ManySilent {
         let quiet = self.quiet();
         let mut counts: BTreeMap<Option<Route>, (usize, usize)> = BTreeMap::new();
@@ -189,8 +189,8 @@
         ManySilent { everywhere: many(silent, up), routes }
     }
 
-    /// Long enough in office that workers which can find this leader have done so. Before that,
-    /// silence proves nothing, and two leaders would hand the office to and fro.
+    /// Leading for long enough that workers which can find this leader have done so. Before that,
+    /// silence proves nothing, and two leaders would hand over to and fro.
     pub fn settled(&self, now: Mono) -> bool {
         now - self.since > self.p.lease
     }
--- a/src/core/leader/mod.rs
+++ b/src/core/leader/mod.rs
@@ -394,7 +394,7 @@
         }
     }
 
-    // ---- taking office
+    // ---- becoming leader
 
     /// What the state service holds. A row that can't be read is left alone.
     pub fn load(&mut self, now: Mono, stored: Stored) {
@@ -444,7 +444,7 @@
         }
         // Until now reports were answered without the ledger, which renewed workers' leases.
         self.since = now;
-        info!("office taken: term={} jobs={} machines={}", self.term, self.jobs.len(), self.machines.len());
+        info!("ledger loaded: term={} jobs={} machines={}", self.term, self.jobs.len(), self.machines.len());
     }
 
     fn place_of(&self, kind: &str, zone: &str) -> Option<(usize, u32)> {
--- a/src/core/leader/room.rs
+++ b/src/core/leader/room.rs
@@ -3,6 +3,35 @@
 use super::planner_view::{PlannedJob, PlannerView, wall_age, zone_counts};
 use super::*;
 
+/// Where room for a task is wanted.
+#[derive(Clone, Copy, PartialEq)]
+pub(super) enum Wanted {
+    Anywhere,
+    WhereImageIs,
+}
+
+/// What to do with room for a gang that doesn't suffice yet.
+#[derive(Clone, Copy, PartialEq)]
+enum Insufficient {
+    Leave,
+    /// Keep it, so that more can be gathered.
+    Hold,
+}
+
+/// Tasks to be stopped on a machine, and what is lost by that in seconds of a processor.
+#[derive(Default)]
+struct Eviction {
+    victims: Vec<SlotKey>,
+    loss: f64,
+}
+
+/// What a second of fetching an image counts as.
+const LOSS_OF_FETCH_SECOND: f64 = 20.0;
+/// What counts against plain replicas on a machine with GPUs, by whether GPU jobs need the room: more than
+/// anything that may be lost elsewhere.
+const LOSS_OF_GPU_MACHINE: f64 = 1e6;
+const LOSS_OF_GPU_ROOM: f64 = 1e9;
+
 impl Leader {
     /// Tasks that found no machine that is up: preemption, and the paper's second fall-back.
     pub(super) fn heed_waiting(&mut self, now: Mono, view: &PlannerView, out: &PlanOutput) {
@@ -33,11 +62,11 @@
             }
             if view.gang {
                 // All of it or nothing: work is stopped only where that is enough.
-                self.gather_for(now, id, false);
+                self.gather_for(now, id, Insufficient::Leave);
                 continue;
             }
             for _ in 0..w.count.min(64) {
-                if !self.make_room(now, id, false) {
+                if !self.make_room(now, id, Wanted::Anywhere) {
                     break;
                 }
             }
@@ -197,91 +226,113 @@
         done.iter().for_each(|job| self.reservations.release(job));
     }
 
-    /// Stops work of lower priority where that makes room for one task, if need be only where its
-    /// image is. False: nowhere.
-    pub(super) fn make_room(&mut self, now: Mono, id: &JobId, with_image: bool) -> bool {
+    /// Stops work of lower priority where that makes room for one task. False: nowhere.
+    pub(super) fn make_room(&mut self, now: Mono, id: &JobId, wanted: Wanted) -> bool {
         let Some(j) = self.jobs.get(id) else { return false };
         let spec = &j.spec;
         let need = Amount::of_task(spec);
-        let priority = priority_number(j.priority());
-        let guaranteed = self.within_guarantee.contains(id);
-        let image = self.images.get(&spec.image).copied().unwrap_or(u32::MAX);
         // What is placed, and what room is being made for.
         let mut placed = zone_counts(j, &self.machines);
         let coming = self.reservations.of(id).filter_map(|r| self.machines.get(&r.machine));
         placed.extend(coming.map(|m| ZoneCount { zone: m.zone, count: 1 }));
-        let mut best: Option<(f64, MachineId, Vec<SlotKey>)> = None;
+        let mut best: Option<(Eviction, MachineId)> = None;
         for (mid, m) in &self.machines {
-            let t = &self.types[m.kind];
-            let fetched = m.image_ready(image, now) == Some(0.0);
-            if (with_image && !fetched)
-                || !self.suits(now, j, mid, m)
+            if !self.suits(now, j, mid, m)
                 || !miser::zone_allowed(spec.spread, spec.one_zone, spec.tasks, &placed, m.zone)
             {
                 continue;
             }
-            let mut free = m.free(t);
-            self.reservations.on(mid).for_each(|r| free.sub(&r.need));
-            // What is already told to stop will be free soon.
-            for s in m.slots.values().filter(|s| !s.exited() && s.stop.is_some()) {
-                free.add(&s.need);
-            }
-            let spared = t.gpus > 0.0 && need.gpus <= 0.0 && !self.spare(m).holds(&Amount { gpus: 0.0, ..need });
-            if spared && spec.kind != Kind::Service {
-                continue;
-            }
-            let mut victims: Vec<(&SlotKey, &Slot)> = m
-                .slots
-                .iter()
-                .filter(|(_, s)| !s.exited() && s.stop.is_none())
-                .filter(|(k, s)| {
-                    // A team's guarantee goes before what other teams run beyond theirs.
-                    let beyond = || s.team != Some(j.team) && !self.within_guarantee.contains(&k.0.job);
-                    priority_number(s.priority) > priority
-                        || guaranteed && priority_number(s.priority) == priority && beyond()
-                })
-                // Stopping one task of a gang stops it whole: too dear for an image.
-                .filter(|(k, _)| !with_image || self.gang_size(&k.0.job) == 1.0)
-                .collect();
-            victims.sort_by_key(|(_, s)| {
-                let ran = s.running_since.map_or(0, |t| (now - t).0);
-                (std::cmp::Reverse(priority_number(s.priority)), ran)
-            });
-            let mut lost = 0.0;
-            let mut chosen = Vec::new();
-            for (k, s) in victims {
-                if free.holds(&need) {
-                    break;
-                }
-                free.add(&s.need);
-                let ran = s.running_since.map_or(0.0, |t| (now - t).as_secs());
-                lost += self.gang_size(&k.0.job) * (1.0 + ran * s.need.cpus.max(1.0));
-                chosen.push(*k);
-            }
-            if !free.holds(&need) {
-                continue;
-            }
-            if m.image_ready(image, now).is_none() {
-                lost += 20.0 * spec.image_gb / t.fetch_gb_per_s.max(0.01);
-            }
-            if spec.kind == Kind::Service && t.gpus > 0.0 && need.gpus <= 0.0 {
-                lost += if spared { 1e9 } else { 1e6 };
-            }
-            if best.as_ref().is_none_or(|(b, _, _)| lost < *b) {
-                best = Some((lost, mid.clone(), chosen));
+            let Some(eviction) = self.eviction(now, (id, j), (mid, m), wanted) else { continue };
+            if best.as_ref().is_none_or(|(best, _)| eviction.loss < best.loss) {
+                best = Some((eviction, mid.clone()));
             }
         }
-        let Some((_, mid, chosen)) = best else { return false };
-        if !chosen.is_empty() {
-            debug!("making room for {id} on {mid}: tasks={}", chosen.len());
+        let Some((Eviction { victims, .. }, mid)) = best else { return false };
+        if !victims.is_empty() {
+            debug!("making room for {id} on {mid}: tasks={}", victims.len());
         }
-        for k in chosen {
-            self.stop_task(&mid, &k);
+        for victim in victims {
+            self.stop_task(&mid, &victim);
         }
         self.reservations.add(now, mid, *id, need);
         true
     }
 
+    /// What has to be stopped on a machine to make room for a task of a job; none: that is not to be had.
+    fn eviction(
+        &self,
+        now: Mono,
+        (id, j): (&JobId, &Job),
+        (mid, m): (&MachineId, &Machine),
+        wanted: Wanted,
+    ) -> Option<Eviction> {
+        let spec = &j.spec;
+        let t = &self.types[m.kind];
+        let need = Amount::of_task(spec);
+        let service = spec.kind == Kind::Service;
+        let image = self.images.get(&spec.image).copied().unwrap_or(u32::MAX);
+        let ready = m.image_ready(image, now);
+        if wanted == Wanted::WhereImageIs && ready != Some(0.0) {
+            return None;
+        }
+        let plain_on_gpus = t.gpus > 0.0 && need.gpus <= 0.0;
+        let spared = plain_on_gpus && !self.spare(m).holds(&Amount { gpus: 0.0, ..need });
+        if spared && !service {
+            return None;
+        }
+        let mut free = m.free(t);
+        self.reservations.on(mid).for_each(|r| free.sub(&r.need));
+        // What is already told to stop will be free soon.
+        for s in m.slots.values().filter(|s| !s.exited() && s.stop.is_some()) {
+            free.add(&s.need);
+        }
+        let mut eviction = Eviction::default();
+        for (key, slot) in self.candidates((id, j), m, now, wanted) {
+            if free.holds(&need) {
+                break;
+            }
+            free.add(&slot.need);
+            let ran_s = slot.running_since.map_or(0.0, |t| (now - t).as_secs());
+            eviction.loss += self.gang_size(&key.0.job) * (1.0 + ran_s * slot.need.cpus.max(1.0));
+            eviction.victims.push(*key);
+        }
+        if !free.holds(&need) {
+            return None;
+        }
+        if ready.is_none() {
+            eviction.loss += LOSS_OF_FETCH_SECOND * spec.image_gb / t.fetch_gb_per_s.max(0.01);
+        }
+        if service && plain_on_gpus {
+            eviction.loss += if spared { LOSS_OF_GPU_ROOM } else { LOSS_OF_GPU_MACHINE };
+        }
+        Some(eviction)
+    }
+
+    /// The tasks on a machine that may be stopped for a job, those first that are missed least.
+    fn candidates<'a>(
+        &'a self,
+        (id, j): (&JobId, &Job),
+        m: &'a Machine,
+        now: Mono,
+        wanted: Wanted,
+    ) -> Vec<(&'a SlotKey, &'a Slot)> {
+        let guaranteed = self.within_guarantee.contains(id);
+        let may_be_stopped = |(key, slot): &(&SlotKey, &Slot)| {
+            // A team's guarantee goes before what other teams run beyond theirs.
+            let beyond = slot.team != Some(j.team) && !self.within_guarantee.contains(&key.0.job);
+            let lower = slot.priority > j.priority() || guaranteed && slot.priority == j.priority() && beyond;
+            // Stopping one task of a gang stops it whole: too dear for an image.
+            let cheap = wanted == Wanted::Anywhere || self.gang_size(&key.0.job) == 1.0;
+            !slot.exited() && slot.stop.is_none() && lower && cheap
+        };
+        let mut candidates: Vec<_> = m.slots.iter().filter(may_be_stopped).collect();
+        candidates.sort_by_key(|(_, slot)| {
+            let ran = slot.running_since.map_or(0, |t| (now - t).0);
+            (std::cmp::Reverse(slot.priority), ran)
+        });
+        candidates
+    }
+
     /// How many tasks end when one of the job's is stopped.
     fn gang_size(&self, id: &JobId) -> f64 {
         self.jobs.get(id).filter(|j| j.spec.kind == Kind::Gang).map_or(1.0, |j| f64::from(j.spec.tasks))
@@ -324,15 +375,14 @@
             self.jobs.iter().filter(|(_, j)| waits(j) && large(j)).map(|(id, j)| (size(j), *id)).collect();
         waiting.sort();
         for (_, id) in waiting {
-            if self.gather_for(now, &id, true) {
+            if self.gather_for(now, &id, Insufficient::Hold) {
                 break;
             }
         }
     }
 
-    /// Finds room for a gang; `hold` keeps what there is although it doesn't suffice yet. False:
-    /// nowhere, or its team has no quota left.
-    fn gather_for(&mut self, now: Mono, id: &JobId, hold: bool) -> bool {
+    /// Finds room for a gang. False: nowhere, or its team has no quota left.
+    fn gather_for(&mut self, now: Mono, id: &JobId, insufficient: Insufficient) -> bool {
         let Some(j) = self.jobs.get(id) else { return false };
         let (tasks, need) = (j.spec.tasks, Amount::of_task(&j.spec));
         if !self.quota_holds(j.team, &need, f64::from(tasks)) {
@@ -374,7 +424,9 @@
             .into_iter()
             .filter(|(_, z)| z.most >= tasks)
             .max_by_key(|(zone, z)| (held_in == Some(*zone), z.soon.min(tasks), free(z)));
-        let Some((_, z)) = best.filter(|(_, z)| hold || z.soon >= tasks) else { return false };
+        let Some((_, z)) = best.filter(|(_, z)| insufficient == Insufficient::Hold || z.soon >= tasks) else {
+            return false;
+        };
         self.reservations.release(id);
         let mut left = tasks;
         for (machine, n) in z.free {
@@ -385,7 +437,7 @@
         }
         if left > 0 && z.soon >= tasks {
             debug!("room gathered for {id}: tasks={tasks} free={}", tasks - left);
-            while left > 0 && self.make_room(now, id, false) {
+            while left > 0 && self.make_room(now, id, Wanted::Anywhere) {
                 left -= 1;
             }
         }
--- a/src/core/leader/rounds.rs
+++ b/src/core/leader/rounds.rs
@@ -1,6 +1,7 @@
 //! Rounds of decisions: the view, the parts of the plan, and what of it is committed.
 
 use super::planner_view::{PlannedJob, PlannerView, deal, zone_counts};
+use super::room::Wanted;
 use super::*;
 
 impl Leader {
@@ -107,7 +108,7 @@
             }
             let mut count = p.count as usize;
             if self.starts_late(now, job, machine, view.input.jobs.get(p.job as usize)) {
-                while count > 0 && self.make_room(now, job, true) {
+                while count > 0 && self.make_room(now, job, Wanted::WhereImageIs) {
                     count -= 1;
                 }
             }
--- /dev/null
+++ b/src/core/leader/tests/planning.rs
@@ -0,0 +1,116 @@
+//! Who gets room, and which machines are counted on.
+
+use super::*;
+
+#[test]
+fn the_largest_gang_begins_although_smaller_work_keeps_coming() {
+    let mut rig = Rig::new(6);
+    rig.run(2_000);
+    let whole = |n: u32, tasks: u32| spec(&format!("req-{n:06}"), Kind::Gang, tasks, 8.0);
+    for n in 1..=8 {
+        rig.submit(200, whole(n, 1));
+    }
+    rig.run(1_000);
+    let large = rig.submit(200, whole(100, 6));
+    let mut began = None;
+    for n in 0..60 {
+        // Every 2 s another small gang comes, and the one that has run longest ends.
+        rig.submit(200, whole(200 + n, 1));
+        let oldest = rig.workers.values().flat_map(|r| &r.tasks).filter(|l| l.phase == TaskPhase::Running);
+        if let Some((listed, attempt)) = oldest.min_by_key(|l| l.attempt).map(|l| (l.task, l.attempt)) {
+            rig.workers.values_mut().for_each(|r| Rig::end(r, listed, attempt, Cause::Done));
+        }
+        rig.run(2_000);
+        if rig.runs(&large) == 6 {
+            began.get_or_insert(rig.now);
+            break;
+        }
+    }
+    assert!(began.is_some_and(|t| t < 60_000), "{began:?}");
+}
+
+#[test]
+fn a_guarantee_goes_before_what_other_teams_run_beyond_theirs() {
+    let mut rig = Rig::new(2);
+    rig.run(2_000);
+    let beyond = rig.submit(200, spec("req-000001", Kind::Array, 2, 8.0));
+    rig.run(2_000);
+    assert_eq!(rig.runs(&beyond), 2);
+    // team-a is guaranteed 8 CPUs: one whole machine, and no more.
+    let within = rig.submit(200, JobSpec { team: "team-a".into(), ..spec("req-000002", Kind::Array, 1, 8.0) });
+    let more = rig.submit(200, JobSpec { team: "team-a".into(), ..spec("req-000003", Kind::Array, 1, 8.0) });
+    rig.run(2_000);
+    assert_eq!((rig.runs(&within), rig.runs(&more), rig.runs(&beyond)), (1, 0, 1));
+}
+
+#[test]
+fn a_replica_lost_late_is_as_urgent_as_a_first_one() {
+    let mut rig = Rig::new(1);
+    rig.run(2_000);
+    let feed = |id: &str, kind: Kind| JobSpec {
+        class: "feed".into(),
+        priority: Priority::Prod,
+        image_gb: 20.0,
+        ..spec(id, kind, 1, 9.0)
+    };
+    let service = rig.submit(200, feed("req-000001", Kind::Service));
+    let array = rig.submit(200, feed("req-000002", Kind::Array));
+    let m = MachineId::parse("m-000000").unwrap();
+    // The image takes 20 s to fetch, the aim of the class is 3 s, and both jobs are old.
+    let old = JobView { age_s: 100.0, ..JobView::default() };
+    assert!(rig.leader.starts_late(Mono(rig.now), &service, &m, Some(&old)), "better where its image is");
+    assert!(!rig.leader.starts_late(Mono(rig.now), &array, &m, Some(&old)), "its aim is missed anyway");
+}
+
+#[test]
+fn machines_that_are_coming_up_are_counted_on_once() {
+    // Each of five planners took the same few booting machines for its own jobs, and too few were
+    // rented: a fleet of 1,300 took 100 s to come up instead of 30.
+    let kinds = [(8.0, 0.0), (16.0, 2.0)].map(|(cpus, gpus)| TypeView { cpus, gpus, ..Default::default() });
+    let machine = |key: u32| MachineView { key, kind: key % 2, up: key < 10, ..Default::default() };
+    let job = |key: u32, gpus: f64| JobView { key, ready: 10, tasks: 10, cpus: 1.0, gpus, ..Default::default() };
+    let input = PlanInput {
+        version: VERSION,
+        types: kinds.to_vec(),
+        machines: (0..40).map(machine).collect(),
+        jobs: vec![job(0, 0.0), job(1, 2.0), job(2, 2.0), job(3, 0.0)],
+        ..Default::default()
+    };
+    let parts = deal(&input, &[&[0, 1], &[2], &[3]]);
+    let coming: Vec<u32> = parts.iter().flat_map(|p| &p.machines).filter(|m| !m.up).map(|m| m.key).collect();
+    assert_eq!(coming.iter().collect::<BTreeSet<_>>().len(), 30, "each to one part");
+    assert_eq!(coming.len(), 30);
+    let of = |part: usize, kind: u32| parts[part].machines.iter().filter(|m| !m.up && m.kind == kind).count();
+    assert!(of(0, 0).abs_diff(of(2, 0)) <= 1 && of(1, 0) == 0, "plain ones by what is wanted of them");
+    assert!(of(0, 1).abs_diff(of(1, 1)) <= 1 && of(2, 1) == 0, "GPU machines to parts with GPU jobs");
+    for p in &parts {
+        assert_eq!(p.machines.iter().filter(|m| m.up).count(), 10, "all see what is up");
+    }
+    assert_ne!(parts[0].machines[0].key, parts[1].machines[0].key, "each in an order of its own");
+}
+
+#[test]
+fn gpu_machines_are_lent_only_as_far_as_gpu_jobs_have_not_wanted_them() {
+    // Plain work filled every GPU machine that came free and was cleared off it again: nearly half
+    // of all starts were of tasks that had been stopped so.
+    let mut l = Leader::new(sample_settings(), Tuning::default(), kinds(), Term(1), holder(), Mono(0));
+    let gpu = l.types.iter().position(|t| t.gpus > 0.0).expect("there is a GPU kind");
+    for i in 0..4 {
+        let mut m = Machine::new(String::new(), gpu, 0, false, Mono(0));
+        m.up = true;
+        l.machines.insert(MachineId::parse(&format!("m-{i}")).unwrap(), m);
+    }
+    let lent = |l: &mut Leader, at: Mono, waiting: &BTreeSet<JobId>| {
+        l.lend(at, waiting);
+        l.lent.len()
+    };
+    assert_eq!(lent(&mut l, Mono(0), &BTreeSet::new()), 4, "nobody wants GPUs");
+    let mut s = spec("req-000001", Kind::Gang, 3, 1.0);
+    s.gpus = l.types[gpu].gpus;
+    let id = JobId::parse(&s.id).unwrap();
+    l.on_live(&id, &json!(LiveRecord { at: Wall(0), spec: s, awaits: Vec::new() }), Revision(1));
+    let waiting = BTreeSet::from([id]);
+    assert_eq!(lent(&mut l, Mono(100), &waiting), 1);
+    assert_eq!(lent(&mut l, Mono(1_000), &BTreeSet::new()), 1, "not forgotten at once");
+    assert_eq!(lent(&mut l, Mono(200_000), &BTreeSet::new()), 4);
+}
--- a/src/core/leadership.rs
+++ b/src/core/leadership.rs
@@ -2,9 +2,9 @@
 //! service; its term is the key's revision.
 //!
 //! The lease never ends early, so a leader that counts it from before the request was sent knows
-//! a bound up to which no other can be in office. It stops answering at that bound. When the
+//! a bound up to which no other can lead. It stops answering at that bound. When the
 //! state service refuses it, it may hold on only while every peer is refused too and promises not
-//! to run for office: a promise that each peer keeps, even over a restart (see `may_run`). With its
+//! to run for leader: a promise that each peer keeps, even over a restart (see `may_run`). With its
 //! promise a peer passes on the cancellations that it has told users and the leader can't have read.
 //!
 //! A leader that isn't told of cancellations is as blind as one without a lease, whatever its
@@ -16,7 +16,7 @@
 use serde::{Deserialize, Serialize};
 
 pub const LEADER_KEY: &str = "ctl/leader";
-/// Written with the first leader's key and never removed: someone has been in office.
+/// Written with the first leader's key and never removed: someone has led.
 pub const INITIALIZED_KEY: &str = "ctl/founded";
 
 /// Who is to lead next, written by a leader that hands over. It hangs on a short lease: others hold
@@ -40,11 +40,12 @@
     pub lease: LeaseId,
 }
 
+/// A leader's lease, and for how long it entitles to act.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Office {
+pub struct LeaderLease {
     pub term: Term,
-    pub lease: LeaseId,
-    /// Until then nobody else can be in office.
+    pub id: LeaseId,
+    /// Until then nobody else can lead.
     bound: Mono,
     /// Until then what has been read of the live jobs is new enough to act on.
     read_bound: Mono,
@@ -52,7 +53,7 @@
     pub read_to: Revision,
 }
 
-/// A peer's word to a leader that is refused: for how long it will not run for office, and the
+/// A peer's word to a leader that is refused: for how long it will not run for leader, and the
 /// cancellations that users have been told by it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Promise {
@@ -69,12 +70,12 @@
     promised_until: Mono,
     /// Another controller is to lead next, so this one holds back until then.
     yields_until: Mono,
-    /// A bid for office was sent and its outcome isn't known.
+    /// A bid to lead was sent and its outcome isn't known.
     bid_open: bool,
     /// Whether the last word of the state service was a refusal or none at all.
     refused: bool,
-    office: Option<Office>,
-    /// The last term that this process has been in office for.
+    lease: Option<LeaderLease>,
+    /// The last term that this process has led for.
     last_term: Term,
 }
 
@@ -88,7 +89,7 @@
             yields_until: Mono(0),
             bid_open: false,
             refused: false,
-            office: None,
+            lease: None,
             last_term: Term(0),
         }
     }
@@ -104,7 +105,7 @@
     }
 
     /// A process that has just begun may have forgotten a promise, so it waits as long as one
-    /// lasts, unless nobody has ever been in office.
+    /// lasts, unless nobody has ever led.
     pub fn may_run(&self, now: Mono, initialized: bool) -> bool {
         now >= self.promised_until
             && now >= self.yields_until
@@ -112,7 +113,7 @@
     }
 
     /// Only a matter of manners: whoever bids first leads.
-    pub fn yield_office(&mut self, now: Mono) {
+    pub fn yield_to_successor(&mut self, now: Mono) {
         self.yields_until = now + YIELD;
     }
 
@@ -125,10 +126,10 @@
     }
 
     /// The lease counts from before the request that made or renewed it was sent.
-    pub fn took_office(&mut self, term: Term, lease: LeaseId, asked_at: Mono) {
-        self.office = Some(Office {
+    pub fn elected(&mut self, term: Term, lease: LeaseId, asked_at: Mono) {
+        self.lease = Some(LeaderLease {
             term,
-            lease,
+            id: lease,
             bound: asked_at + self.ttl.shrunk(),
             read_bound: asked_at + self.read_ttl,
             read_to: Revision(0),
@@ -138,17 +139,17 @@
     }
 
     pub fn renewed(&mut self, asked_at: Mono) {
-        if let Some(o) = &mut self.office {
+        if let Some(o) = &mut self.lease {
             o.bound = o.bound.max(asked_at + self.ttl.shrunk());
         }
     }
 
     /// All changes of live jobs up to the revision are in the ledger; they were asked for at `asked_at`.
     pub fn read(&mut self, asked_at: Mono, now: Mono, revision: Revision) {
-        if let Some(o) = &mut self.office {
+        if let Some(o) = &mut self.lease {
             o.read_bound = o.read_bound.max(asked_at + self.read_ttl);
-            // Past the bound somebody else may be in office, so that a revision read then may be of
-            // a later term; a peer that was in office, and has forgotten it, could vouch from there.
+            // Past the bound somebody else may lead, so that a revision read then may be of
+            // a later term; a peer that has led, and has forgotten it, could vouch from there.
             if now < o.bound {
                 o.read_to = o.read_to.max(revision);
             }
@@ -158,30 +159,30 @@
     /// Every peer has promised, and its cancellations are in the ledger; each promise began after
     /// `asked_at`.
     pub fn all_promised(&mut self, asked_at: Mono, shortest: Span) {
-        if let Some(o) = &mut self.office {
+        if let Some(o) = &mut self.lease {
             o.bound = o.bound.max(asked_at + shortest.shrunk());
             o.read_bound = o.read_bound.max(asked_at + self.read_ttl);
         }
     }
 
-    pub fn lost_office(&mut self) {
-        self.office = None;
+    pub fn step_down(&mut self) {
+        self.lease = None;
     }
 
-    /// The office, whether or not its bound has passed.
-    pub fn office(&self) -> Option<Office> {
-        self.office
+    /// The leader's lease, whether or not its bound has passed.
+    pub fn lease(&self) -> Option<LeaderLease> {
+        self.lease
     }
 
     /// The term under which orders and answers may go out now.
     pub fn acting(&self, now: Mono) -> Option<Term> {
-        self.office.filter(|o| now < o.bound.min(o.read_bound)).map(|o| o.term)
+        self.lease.filter(|o| now < o.bound.min(o.read_bound)).map(|o| o.term)
     }
 
     /// Asked by a leader that is refused, which has read all up to a revision. None: a no. A process
-    /// that has been in office since, or can't tell what users have been told since, gives no promise.
+    /// that has led since, or can't tell what users have been told since, gives no promise.
     pub fn promise_to(&mut self, now: Mono, term: Term, read_to: Revision, told: &Cancellations) -> Option<Promise> {
-        if !self.refused || self.bid_open || self.office.is_some() || self.last_term > term {
+        if !self.refused || self.bid_open || self.lease.is_some() || self.last_term > term {
             return None;
         }
         let cancelled = told.since(read_to)?;
--- a/src/core/leadership/tests.rs
+++ b/src/core/leadership/tests.rs
@@ -4,7 +4,7 @@
 #[test]
 fn a_leader_stops_before_its_lease_can_end() {
     let mut l = leadership();
-    l.took_office(Term(7), LeaseId(1), Mono(10_000));
+    l.elected(Term(7), LeaseId(1), Mono(10_000));
     assert_eq!(l.acting(Mono(13_900)), Some(Term(7)));
     assert_eq!(l.acting(Mono(14_000)), None);
     l.renewed(Mono(12_000));
@@ -12,7 +12,7 @@
     // An answer that comes late to an earlier renewal changes nothing.
     l.renewed(Mono(11_000));
     assert_eq!(l.acting(Mono(15_900)), Some(Term(7)));
-    l.lost_office();
+    l.step_down();
     assert_eq!(l.acting(Mono(12_000)), None);
 }
 
@@ -56,10 +56,10 @@
 }
 
 #[test]
-fn who_was_in_office_later_promises_nothing_to_an_earlier_term() {
+fn who_led_later_promises_nothing_to_an_earlier_term() {
     let mut p = leadership();
-    p.took_office(Term(8), LeaseId(1), Mono(0));
-    p.lost_office();
+    p.elected(Term(8), LeaseId(1), Mono(0));
+    p.step_down();
     p.state_refused();
     assert_eq!(p.promise_to(Mono(20_000), Term(7), Revision(9), &told_nothing()), None);
     assert!(p.promise_to(Mono(20_000), Term(9), Revision(9), &told_nothing()).is_some());
@@ -92,7 +92,7 @@
 #[test]
 fn a_leader_acts_only_on_what_it_has_read_lately() {
     let mut l = leadership();
-    l.took_office(Term(7), LeaseId(1), Mono(10_000));
+    l.elected(Term(7), LeaseId(1), Mono(10_000));
     // Its renewals succeed, but it reads nothing.
     for t in 10..40 {
         l.renewed(Mono(t * 1_000));
@@ -101,10 +101,10 @@
     assert_eq!(l.acting(Mono(20_000)), None);
     l.read(Mono(29_000), Mono(30_000), Revision(30));
     assert_eq!(l.acting(Mono(30_100)), Some(Term(7)));
-    assert_eq!(l.office().unwrap().read_to, Revision(30));
-    // Past its bound somebody else may be in office, whose changes these may be.
+    assert_eq!(l.lease().unwrap().read_to, Revision(30));
+    // Past its bound somebody else may lead, whose changes these may be.
     l.read(Mono(49_000), Mono(50_000), Revision(50));
-    assert_eq!(l.office().unwrap().read_to, Revision(30));
+    assert_eq!(l.lease().unwrap().read_to, Revision(30));
 }
 
 #[test]
@@ -112,5 +112,5 @@
     let p = leadership();
     assert!(!p.may_run(Mono(4_000), true));
     assert!(p.may_run(Mono(4_100), true));
-    assert!(p.may_run(Mono(0), false), "nobody was ever in office");
+    assert!(p.may_run(Mono(0), false), "nobody ever led");
 }
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -120,7 +120,7 @@
     Revision
 );
 counter!(
-    /// The revision at which a leader took office; later leaders have larger ones.
+    /// The revision at which a leader was elected; later leaders have larger ones.
     Term
 );
 counter!(
--- a/src/net/election.rs
+++ b/src/net/election.rs
@@ -1,10 +1,10 @@
-//! Runs for office, keeps it, and gives it up in time.
+//! Runs for leader, keeps it, and gives it up in time.
 
 use super::leading;
 use super::node::{Inner, Node};
 use super::peers;
 use super::state::StateError;
-use crate::core::leadership::{INITIALIZED_KEY, LEADER_KEY, LeaderRecord, Office, SUCCESSOR_KEY, YIELD};
+use crate::core::leadership::{INITIALIZED_KEY, LEADER_KEY, LeaderLease, LeaderRecord, SUCCESSOR_KEY, YIELD};
 use crate::core::records::Ending;
 use crate::ids::{Revision, Term};
 use crate::peer::HelloAnswer;
@@ -57,9 +57,9 @@
                 };
                 if may && !must_yield(&node).await {
                     held_it = false;
-                    if let Some((office, record)) = bid(&node).await {
+                    if let Some((leader_lease, record)) = bid(&node).await {
                         initialized = true;
-                        hold_office(&node, office, record).await;
+                        keep_leading(&node, leader_lease, record).await;
                         continue;
                     }
                     tokio::time::sleep(Span(rand::random::<u64>() % 200).std()).await;
@@ -84,7 +84,7 @@
     inner.leader_by_peers = answers.iter().flatten().map(|a| a.leader.clone()).find(|l| !l.is_empty());
 }
 
-async fn bid(node: &Arc<Node>) -> Option<(Office, LeaderRecord)> {
+async fn bid(node: &Arc<Node>) -> Option<(LeaderLease, LeaderRecord)> {
     let asked_at = node.now();
     let lease = node.served(node.state.grant(&node.http, node.settings.state_ttl())).await.ok()?;
     let record = LeaderRecord { node: node.settings.name.clone(), incarnation: node.incarnation, lease };
@@ -130,21 +130,21 @@
     let mut inner = node.lock();
     inner.leadership.bid_settled();
     let term = term?;
-    inner.leadership.took_office(term, lease, asked_at);
+    inner.leadership.elected(term, lease, asked_at);
     inner.leader_name = Some(node.settings.name.clone());
-    Some((inner.leadership.office()?, record))
+    Some((inner.leadership.lease()?, record))
 }
 
 /// Renews the lease until it is lost.
-async fn hold_office(node: &Arc<Node>, office: Office, record: LeaderRecord) {
-    info!("leading: term={}", office.term);
-    let work = tokio::spawn(leading::run(node.clone(), office.term, record));
+async fn keep_leading(node: &Arc<Node>, leader_lease: LeaderLease, record: LeaderRecord) {
+    info!("leading: term={}", leader_lease.term);
+    let work = tokio::spawn(leading::run(node.clone(), leader_lease.term, record));
     let ttl = node.settings.state_ttl();
     let mut acting = true;
     let mut promised = false;
     loop {
         let asked_at = node.now();
-        let renewed = node.served(node.state.renew(&node.http, office.lease, Span(900))).await;
+        let renewed = node.served(node.state.renew(&node.http, leader_lease.id, Span(900))).await;
         match renewed {
             Ok(true) => {
                 let mut inner = node.lock();
@@ -158,27 +158,27 @@
                 // Others may be served, and tell users of cancellations that can't be read here.
                 // What the peers have promised last holds until they are asked again.
                 doubt(&mut node.lock(), !promised);
-                promised = hold_on(node, office.term).await;
+                promised = hold_on(node, leader_lease.term).await;
                 doubt(&mut node.lock(), !promised);
             }
         }
         let successor = node.lock().successor.take();
         if let Some(successor) = successor {
-            hand_over(node, office, successor).await;
+            hand_over(node, leader_lease, successor).await;
             break;
         }
         let now = node.now();
         let acts = node.lock().leadership.acting(now).is_some();
         if acts != acting {
             acting = acts;
-            info!("{}: term={}", if acts { "acting again" } else { "no longer acting" }, office.term);
+            info!("{}: term={}", if acts { "acting again" } else { "no longer acting" }, leader_lease.term);
         }
         let pause = if renewed_late(node, asked_at) { Span(100) } else { Span(ttl.0 / 6) };
         tokio::time::sleep(pause.std()).await;
     }
-    warn!("office lost: term={}", office.term);
+    warn!("no longer leader: term={}", leader_lease.term);
     let mut inner = node.lock();
-    inner.leadership.lost_office();
+    inner.leadership.step_down();
     inner.leader = None;
     inner.leader_name = None;
     drop(inner);
@@ -186,14 +186,14 @@
 }
 
 /// Stops acting, tells the peers who is to come, and ends the lease.
-async fn hand_over(node: &Arc<Node>, office: Office, successor: String) {
+async fn hand_over(node: &Arc<Node>, leader_lease: LeaderLease, successor: String) {
     let guard = {
         let now = node.now();
         let mut inner = node.lock();
-        inner.leadership.lost_office();
-        inner.leadership.yield_office(now);
+        inner.leadership.step_down();
+        inner.leadership.yield_to_successor(now);
         inner.leader_name = None;
-        inner.leader.take().map_or(Revision(office.term.0), |l| l.guard())
+        inner.leader.take().map_or(Revision(leader_lease.term.0), |l| l.guard())
     };
     let mut hello = peers::hello(node);
     hello.successor = successor;
@@ -203,7 +203,7 @@
         node.served(name_successor(node, guard, &hello.successor))
     );
     // Unanswered, the lease ends by itself.
-    let _ = node.served(node.state.revoke(&node.http, office.lease)).await;
+    let _ = node.served(node.state.revoke(&node.http, leader_lease.id)).await;
 }
 
 async fn name_successor(node: &Arc<Node>, guard: Revision, successor: &str) -> Result<(), StateError> {
@@ -232,7 +232,7 @@
     }
 }
 
-/// Refused by the state service: stays in office only if every peer is refused, promises not to run,
+/// Refused by the state service: goes on leading only if every peer is refused, promises not to run,
 /// and has passed on the cancellations that can't have been read here. True: all have.
 async fn hold_on(node: &Arc<Node>, term: Term) -> bool {
     let asked_at = node.now();
@@ -240,7 +240,7 @@
     hello.hold_on = true;
     hello.leading = true;
     hello.term = term.0;
-    hello.read_to = node.lock().leadership.office().map_or(0, |o| o.read_to.0);
+    hello.read_to = node.lock().leadership.lease().map_or(0, |o| o.read_to.0);
     let answers = peers::ask_all(node, &hello, Span(800)).await;
     // A promise whose cancellations can't be read is none.
     let promised = |a: &Option<HelloAnswer>| {
--- a/src/net/forwarding.rs
+++ b/src/net/forwarding.rs
@@ -57,7 +57,7 @@
 }
 
 impl Forwarding {
-    /// A leader has sent its heartbeat. One of an earlier term may just not know yet that it lost office.
+    /// A leader has sent its heartbeat. One of an earlier term may just not know yet that it has lost its lease.
     pub fn heard_leader(&mut self, name: &str, term: Term, now: Mono) {
         if self.leader.as_ref().is_some_and(|known| term < known.term) {
             return;
--- a/src/net/leading.rs
+++ b/src/net/leading.rs
@@ -46,7 +46,7 @@
     }
 }
 
-async fn types_for_office(node: &Arc<Node>) -> Vec<MachineType> {
+async fn types_for_leader(node: &Arc<Node>) -> Vec<MachineType> {
     loop {
         if let Some(t) = node.lock().types.clone() {
             return t;
@@ -66,13 +66,13 @@
     }
 }
 
-fn in_office(node: &Node, term: Term) -> bool {
-    node.lock().leadership.office().is_some_and(|o| o.term == term)
+fn still_leads(node: &Node, term: Term) -> bool {
+    node.lock().leadership.lease().is_some_and(|o| o.term == term)
 }
 
 pub async fn run(node: Arc<Node>, term: Term, record: LeaderRecord) {
     let since = node.now();
-    let types = types_for_office(&node).await;
+    let types = types_for_leader(&node).await;
     let (asked_at, stored, epoch) = loop {
         let asked_at = node.now();
         match load(&node).await {
@@ -87,7 +87,7 @@
     {
         let now = node.now();
         let mut inner = node.lock();
-        if inner.leadership.office().is_none_or(|o| o.term != term) {
+        if inner.leadership.lease().is_none_or(|o| o.term != term) {
             return;
         }
         inner.leadership.read(asked_at, now, Revision(epoch));
@@ -104,7 +104,7 @@
     Ok((Stored { live, bits, fleet, shares }, epoch))
 }
 
-/// Feeds the ledger something and carries out what follows. Outside the bound of the office
+/// Feeds the ledger something and carries out what follows. Outside the bound of the leader's lease
 /// nothing is fed, so nothing goes out.
 pub fn feed<T>(node: &Arc<Node>, f: impl FnOnce(&mut Leader) -> T) -> Option<T> {
     let now = node.now();
@@ -208,7 +208,7 @@
 }
 
 async fn tick(node: &Arc<Node>, term: Term) {
-    while in_office(node, term) {
+    while still_leads(node, term) {
         let (now, wall) = (node.now(), node.wall());
         feed(node, |l| l.tick(now, wall));
         tokio::time::sleep(TICK.std()).await;
@@ -219,7 +219,7 @@
 async fn follow(node: &Arc<Node>, term: Term, mut since: u64) {
     // Several answers must fit into the time for which what has been read may be acted on.
     let block = Span(3_000).min(node.settings.read_ttl().times(0.25));
-    while in_office(node, term) {
+    while still_leads(node, term) {
         let asked_at = node.now();
         let log = node.state.follow(&node.http, LIVE, since, block).await;
         // A watch that stays open says nothing.
@@ -273,7 +273,7 @@
     let lag = Span::secs(node.settings.cluster.cloud.list_lag_s);
     let every = Span((lag.0 / 2).clamp(2_000, 10_000));
     let mut rounds = 0u64;
-    while in_office(node, term) {
+    while still_leads(node, term) {
         if let Some(list) = node.cloud.list(&node.http, node.now()).await {
             let now = node.now();
             feed(node, |l| l.on_list(now, &list));
@@ -294,7 +294,7 @@
 /// Tells the peers how many tasks of each job run, for polls that reach them.
 async fn tell_peers(node: &Arc<Node>, term: Term) {
     let mut suspicion = 0;
-    while in_office(node, term) {
+    while still_leads(node, term) {
         let mut hello = peers::hello(node);
         hello.leading = true;
         hello.term = term.0;
--- a/src/net/loopback.rs
+++ b/src/net/loopback.rs
@@ -257,7 +257,7 @@
         tokio::spawn(election::run(node.clone()));
         until(async || world.lock().unwrap().store.contains_key(LEADER_KEY)).await;
     }
-    assert!(leader.lock().leadership.office().is_some());
+    assert!(leader.lock().leadership.lease().is_some());
     until(async || at_leader.post("/api/jobs", job("req-000001", 1)).await.0 == 201).await;
     let report = async || {
         let r = world.lock().unwrap().report();
@@ -272,7 +272,7 @@
     until(async || {
         report().await;
         // What the other can tell begins where the leader has read to, or before.
-        let read_to = leader.lock().leadership.office().map_or(0, |o| o.read_to.0);
+        let read_to = leader.lock().leadership.lease().map_or(0, |o| o.read_to.0);
         let known = other.lock().cancellations.since(Revision(read_to)).is_some();
         let w = world.lock().unwrap();
         !w.tasks.is_empty() && known
@@ -323,7 +323,7 @@
     until(async || at_leader.post("/api/jobs", job("req-000001", 1)).await.0 == 201).await;
     until(async || {
         let (status, answer) = report(&at_other).await;
-        let term = leader.lock().leadership.office().map(|o| FencingToken::new(o.term, 0));
+        let term = leader.lock().leadership.lease().map(|o| FencingToken::new(o.term, 0));
         let held = !world.lock().unwrap().tasks.is_empty();
         held && status == 200 && answer["baton"] == json!(term)
     })
@@ -355,7 +355,7 @@
     until(async || report(&at_third).await == (421, json!({"steward": other_name}))).await;
 
     // Without a leader that acts there is no answer, and none is made up or remembered.
-    leader.lock().leadership.lost_office();
+    leader.lock().leadership.step_down();
     assert_eq!(report(&at_other).await, (421, json!({})));
     assert_ne!(report(&at_other).await.0, 200);
 }
@@ -471,7 +471,7 @@
 #[tokio::test]
 async fn a_named_successor_is_waited_for_and_a_worker_is_not_sent_to_and_fro() {
     // With two zones parted, a leader in one handed over to a controller that heard both, and one in
-    // the other zone, which it couldn't tell, took the office first.
+    // the other zone, which it couldn't tell, was elected first.
     let world = Arc::new(Mutex::new(World::default()));
     world.lock().unwrap().store.insert(SUCCESSOR_KEY.into(), (json!("plinth-1"), 1));
     let (node, c) = controller(&world, false);
@@ -501,7 +501,7 @@
     let world = Arc::new(Mutex::new(World::default()));
     let (node, c) = controller(&world, false);
     tokio::time::sleep(Span(200).std()).await;
-    node.lock().leadership.took_office(Term(5), LeaseId(7), node.now());
+    node.lock().leadership.elected(Term(5), LeaseId(7), node.now());
     let own = FencingToken::new(Term(5), 0);
     let empty = world.lock().unwrap().report();
     assert_eq!(c.post("/v1/report", empty).await, (200, json!({"baton": own, "orders": []})));
@@ -520,10 +520,10 @@
     let body = DirectOrders { token: FencingToken::new(Term(5), 0), session: Session(1), orders: vec![run] };
     let order = || Action::Orders { ticket: 1, endpoint: endpoint.clone(), body: body.clone() };
     leading::perform(node.clone(), Term(5), order()).await;
-    assert!(world.lock().unwrap().orders.is_empty(), "it is not in office any more");
-    node.lock().leadership.took_office(Term(6), LeaseId(7), node.now());
+    assert!(world.lock().unwrap().orders.is_empty(), "it is no longer the leader");
+    node.lock().leadership.elected(Term(6), LeaseId(7), node.now());
     leading::perform(node.clone(), Term(5), order()).await;
-    assert!(world.lock().unwrap().orders.is_empty(), "in office again, but for another term");
+    assert!(world.lock().unwrap().orders.is_empty(), "leader again, but for another term");
     leading::perform(node.clone(), Term(6), order()).await;
     assert_eq!(world.lock().unwrap().orders.len(), 1);
 }
--- a/src/net/loopback/pipelines.rs
+++ b/src/net/loopback/pipelines.rs
@@ -11,7 +11,7 @@
     job
 }
 
-/// Two controllers that know the machine types; neither runs for office.
+/// Two controllers that know the machine types; neither runs for leader.
 async fn without_leader(world: &Arc<Mutex<World>>) -> [(Arc<Node>, Client); 2] {
     let pair = pair(world);
     tokio::time::sleep(Span(200).std()).await;
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -40,7 +40,7 @@
 
 pub struct Inner {
     pub leadership: Leadership,
-    /// The ledger, while in office and once it is loaded.
+    /// The ledger, while leading and once it is loaded.
     pub leader: Option<Leader>,
     /// Who leads, as last read from the state service.
     pub leader_name: Option<String>,
@@ -63,7 +63,7 @@
     misdirected: HashMap<String, Misdirected>,
     /// Machines that the leader has said it doesn't hear from.
     pub silent: HashSet<String>,
-    /// The peer that this controller's office should go to.
+    /// The peer that this controller should hand over to.
     pub successor: Option<String>,
     /// Workers' reports on their way to the leader.
     pub forwarding: Forwarding,
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -83,7 +83,7 @@
         }
     }
     if !hello.successor.is_empty() && hello.successor != node.settings.name {
-        inner.leadership.yield_office(now);
+        inner.leadership.yield_to_successor(now);
     }
     let mut answer =
         HelloAnswer { version: VERSION, misdirected, state_ok: !inner.leadership.is_refused(), ..Default::default() };
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -24,7 +24,7 @@
     pub counts: Vec<JobCount>,
     #[prost(bool, tag = "6")]
     pub leading: bool,
-    /// The sender gives up its office in favour of this controller; others hold back a while.
+    /// The sender hands over to this controller; others hold back a while.
     #[prost(string, tag = "7")]
     pub successor: String,
     /// Machines that the leader doesn't hear from: no use sending them to it.
