--- a/src/core/miser/tests.rs
+++ b/src/core/miser/tests.rs
@@ -125,6 +125,15 @@
     assert_eq!(out.waiting.iter().map(|w| w.count).sum::<u32>(), 5);
 }
 
+#[test]
+fn of_jobs_with_the_same_time_left_the_one_with_the_longest_way_to_go_begins() {
+    // Room for one task. Both are due at the same time, but one has more after it (eq. 1).
+    let stage = |key: u32, successors_s: f64| JobView { goal_s: Some(80.0), successors_s, ..job(key, 1) };
+    let first = |jobs: Vec<JobView>| put(&plan(&input(vec![machine(0, 2.0)], jobs)));
+    assert_eq!(first(vec![stage(0, 5.0), stage(1, 30.0)]), [(1, 0, 1)]);
+    assert_eq!(first(vec![stage(0, 30.0), stage(1, 5.0)]), [(0, 0, 1)]);
+}
+
 #[test]
 fn what_can_still_be_in_time_goes_first() {
     let mut i = input(vec![machine(0, 8.0)], vec![job(0, 4), job(1, 4)]);
