Step times, work counts and load figures in the log; debug lines have a bounded rate

Need: in the records of the incident nothing tells how long one input held the core, what it worked through or what waited behind it; the two controllers that wrote "making room for" for over a minute wrote it once for each stop, so that only the pace of that line shows where the time went.

Change: the core counts the jobs, machines, tasks, reservations and planner's choices that it looks at. Every input is timed (hdrhistogram); each 10 s a controller writes the quantiles by kind of input, the longest with its counts, the term it acts under, and what waits. A step over 250 ms gets a line at once, one a second at most. `debug` lines are held to 500 a second with bursts of 2,000, and those left out are counted in the next one.

--- a/src/core/leader/mod.rs
+++ b/src/core/leader/mod.rs
@@ -32,6 +32,7 @@
 use crate::core::rentals::{Market, Rentals, Request};
 use crate::core::shares::{SHARES_KEY, Shares};
 use crate::core::submissions;
+use crate::core::work::{Work, WorkMeter};
 use crate::ids::{Attempt, FencingToken, JobId, MAX_FENCE, MachineId, Revision, Sequence, TaskId, Term};
 use crate::peer::{
     ImageView, JobCount, JobView, MachineView, Offer, PlanInput, PlanOutput, TeamLeft, TypeView, VERSION, Wish,
@@ -199,6 +200,8 @@
     /// whenever a report may have added to it.
     usage: Option<Usage>,
     actions: Vec<Action>,
+    /// What this leader has worked through since it began.
+    work: WorkMeter,
     spot_lives: SpotLives,
 }
 
@@ -342,6 +345,7 @@
             lag_ms: 0.0,
             usage: None,
             actions: Vec::new(),
+            work: WorkMeter::default(),
         }
     }
 
@@ -361,6 +365,26 @@
         self.in_doubt = in_doubt;
     }
 
+    /// What this leader has worked through since it began.
+    pub fn work_done(&self) -> Work {
+        self.work.read()
+    }
+
+    /// Figures for the log: how much there is to do, and what waits for answers.
+    pub fn load_figures(&self) -> String {
+        let ready: usize = self.jobs.values().map(Job::startable_tasks).sum();
+        let (jobs, machines) = (self.jobs.len(), self.machines.len());
+        let unaccounted = self.machines.values().filter(|m| !m.accounted).count();
+        let (reservations, orders, writes) = (self.reservations.len(), self.orders.len(), self.commits.len());
+        format!(
+            "round={} jobs={jobs} ready={ready} machines={machines} unaccounted={unaccounted} \
+             reservations={reservations} orders={orders} writes={writes} lag={} ms in_doubt={}",
+            self.rounds,
+            self.lag().0,
+            self.in_doubt
+        )
+    }
+
     pub fn take_actions(&mut self) -> Vec<Action> {
         std::mem::take(&mut self.actions)
     }
--- a/src/core/leader/planner_view.rs
+++ b/src/core/leader/planner_view.rs
@@ -69,6 +69,8 @@
 impl Leader {
     /// The fleet and the ready tasks as the planner sees them, with what its keys stand for.
     pub(super) fn planner_view(&mut self, now: Mono, wall: Wall) -> PlannerView {
+        self.work.add_jobs(self.jobs.len());
+        self.work.add_machines(self.machines.len());
         self.usage = None;
         self.unaccounted = self.unaccounted && self.machines.values().any(|m| !m.accounted);
         let waits = |j: &Job| j.startable_tasks() > 0 && j.pause_until <= now && !j.finishing && !self.held_back(j);
@@ -260,6 +262,7 @@
         if gang && (job.gang.is_some() || !job.placed.is_empty()) {
             return None;
         }
+        self.work.add_reservations(self.reservations.len());
         let reserved = self.reservations.of(id).count() as u32;
         let all = (job.ready.len() as u32).saturating_sub(reserved);
         if all == 0 || gang && reserved > 0 {
--- a/src/core/leader/reservations.rs
+++ b/src/core/leader/reservations.rs
@@ -24,6 +24,10 @@
 }
 
 impl Reservations {
+    pub fn len(&self) -> usize {
+        self.list.len()
+    }
+
     pub fn is_empty(&self) -> bool {
         self.list.is_empty()
     }
--- a/src/core/leader/room.rs
+++ b/src/core/leader/room.rs
@@ -140,6 +140,7 @@
             let u = m.used();
             (u.cpus / t.cpus.max(0.1)).max(u.memory_gb / t.memory_gb.max(0.1))
         };
+        self.work.add_machines(self.machines.len());
         let is_service = |k: &SlotKey| self.jobs.get(&k.0.job).is_some_and(|j| j.spec.kind == Kind::Service);
         let waste = |m: &Machine| self.types[m.kind].price * (1.0 - share(m));
         let mut sources: Vec<(&MachineId, &Machine)> = self
@@ -169,6 +170,7 @@
                         && self.permits(spec, m)
                         && miser::zone_allowed(spec.spread, spec.one_zone, spec.tasks, &zones, m.zone)
                 };
+                self.work.add_machines(self.machines.len());
                 let to =
                     self.machines.iter().filter(|(id, m)| fits(id, m)).max_by(|a, b| share(a.1).total_cmp(&share(b.1)));
                 if let Some((to, _)) = to {
@@ -189,6 +191,7 @@
         self.reservations.expire(now);
         let mut done: BTreeSet<JobId> = BTreeSet::new();
         for job in self.reservations.jobs() {
+            self.work.add_reservations(self.reservations.len());
             let Some(j) = self.jobs.get(&job) else {
                 done.insert(job);
                 continue;
@@ -233,6 +236,7 @@
         let mut placed = zone_counts(j, &self.machines);
         let coming = self.reservations.of(id).filter_map(|r| self.machines.get(&r.machine));
         placed.extend(coming.map(|m| ZoneCount { zone: m.zone, count: 1 }));
+        self.work.add_machines(self.machines.len());
         let mut best: Option<(Eviction, MachineId)> = None;
         for (mid, m) in &self.machines {
             if !self.suits(now, j, mid, m)
@@ -279,6 +283,8 @@
             return None;
         }
         let mut free = m.free(t);
+        self.work.add_tasks(m.slots.len());
+        self.work.add_reservations(self.reservations.len());
         self.reservations.on(mid).for_each(|r| free.sub(&r.need));
         // What is already told to stop will be free soon.
         for s in m.slots.values().filter(|s| !s.exited() && s.stop.is_some()) {
@@ -392,11 +398,14 @@
             soon: u32,
             most: u32,
         }
+        self.work.add_machines(self.machines.len());
         let priority = priority_number(j.priority());
         let mut zones: BTreeMap<u32, Zone> = BTreeMap::new();
         for (mid, m) in self.machines.iter().filter(|(mid, m)| self.suits(now, j, mid, m)) {
             let t = &self.types[m.kind];
             let mut free = m.free(t);
+            self.work.add_tasks(m.slots.len());
+            self.work.add_reservations(self.reservations.len());
             self.reservations.on(mid).filter(|r| r.job != *id).for_each(|r| free.sub(&r.need));
             let mut soon = free;
             for s in m.slots.values().filter(|s| !s.exited()) {
--- a/src/core/leader/rounds.rs
+++ b/src/core/leader/rounds.rs
@@ -30,7 +30,7 @@
             self.actions.push(Action::Plan { node: node.clone(), input: part.clone() });
             missing.insert(node, part);
         }
-        let outputs = vec![miser::plan(&own)];
+        let outputs = vec![miser::plan_metered(&own, &self.work)];
         let until = now + PATIENCE;
         self.open_round = Some(Round { view, outputs, missing, until });
         self.close_round(now);
@@ -61,7 +61,7 @@
         for (node, part) in std::mem::take(&mut round.missing) {
             debug!("{node} is silent, its share is planned here");
             self.shares.silent(&node);
-            round.outputs.push(miser::plan(&part));
+            round.outputs.push(miser::plan_metered(&part, &self.work));
         }
         let mut out = PlanOutput::default();
         for o in round.outputs {
@@ -163,8 +163,12 @@
     /// A job from before this leader may have tasks on machines that aren't accounted for: nothing
     /// of it starts, whoever has planned it, until all those that could hold its tasks are.
     pub(super) fn held_back(&self, j: &Job) -> bool {
+        if !self.unaccounted || j.revision.0 > self.term.0 {
+            return false;
+        }
+        self.work.add_machines(self.machines.len());
         let could_hold = |m: &Machine| !m.accounted && self.permits(&j.spec, m);
-        self.unaccounted && j.revision.0 <= self.term.0 && self.machines.values().any(could_hold)
+        self.machines.values().any(could_hold)
     }
 
     /// Whether a job permits a machine's type, zone and kind, whatever is on it.
@@ -177,6 +181,7 @@
     /// The leader's own check of one start, whoever planned it.
     pub(super) fn may_place(&mut self, now: Mono, job: &JobId, machine: &MachineId, n: f64) -> bool {
         let mut kept = Amount::default();
+        self.work.add_reservations(self.reservations.len());
         self.reservations.on(machine).filter(|r| r.job != *job).for_each(|r| kept.add(&r.need));
         let (Some(j), Some(m)) = (self.jobs.get(job), self.machines.get(machine)) else { return false };
         let t = &self.types[m.kind];
--- a/src/core/miser.rs
+++ b/src/core/miser.rs
@@ -6,6 +6,7 @@
 mod planner;
 
 use self::planner::{Active, Planner};
+use crate::core::work::WorkMeter;
 use crate::peer::{JobView, Placement, PlanInput, PlanOutput, VERSION, Waiting, Wish, ZoneCount};
 
 const EPS: f64 = 1e-6;
@@ -70,7 +71,13 @@
         && input.jobs.iter().all(|j| j.tasks <= crate::core::submissions::MAX_TASKS && j.ready <= j.tasks)
 }
 
+/// The plan for a view.
 pub fn plan(input: &PlanInput) -> PlanOutput {
+    plan_metered(input, &WorkMeter::default())
+}
+
+/// The same; `meter` counts what was compared for it.
+pub fn plan_metered(input: &PlanInput, meter: &WorkMeter) -> PlanOutput {
     if !sound(input) {
         return PlanOutput::default();
     }
@@ -89,6 +96,7 @@
     for class in classes {
         let mut active: Vec<Active> =
             input.jobs.iter().filter(|j| class_of(j) == class && j.ready > 0).map(|j| p.activate(j)).collect();
+        meter.add_choices(active.len() * p.places.len());
         // Round-robin over the jobs (paper, lines 7-9). The tasks of a job are alike here, so its
         // top task by rank (eq. 1) is any. Which job begins is open in the paper: the one with the
         // least time left of those that can still make it, then the late ones by age (ours).
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -13,6 +13,7 @@
 pub mod rentals;
 pub mod shares;
 pub mod submissions;
+pub mod work;
 
 #[cfg(test)]
 mod election_model;
--- /dev/null
+++ b/src/core/work.rs
@@ -0,0 +1,77 @@
+//! Counts what the core works through. The counts are independent of the processor's speed, so tests can
+//! hold bounds against them and operators can tell a slow machine from too much work.
+
+use std::cell::Cell;
+use std::fmt;
+
+/// How many things were looked at. Each look takes about the same small time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Work {
+    pub jobs: u64,
+    pub machines: u64,
+    /// Tasks on machines.
+    pub tasks: u64,
+    pub reservations: u64,
+    /// Places that a planner compared for a job.
+    pub choices: u64,
+}
+
+impl Work {
+    pub fn total(&self) -> u64 {
+        self.jobs + self.machines + self.tasks + self.reservations + self.choices
+    }
+
+    /// What was done after `earlier` was read.
+    pub fn since(&self, earlier: &Work) -> Work {
+        Work {
+            jobs: self.jobs - earlier.jobs,
+            machines: self.machines - earlier.machines,
+            tasks: self.tasks - earlier.tasks,
+            reservations: self.reservations - earlier.reservations,
+            choices: self.choices - earlier.choices,
+        }
+    }
+}
+
+impl fmt::Display for Work {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let Work { jobs, machines, tasks, reservations, choices } = self;
+        write!(f, "jobs={jobs} machines={machines} tasks={tasks} reservations={reservations} choices={choices}")
+    }
+}
+
+/// A running count, kept by whoever does the work.
+#[derive(Default)]
+pub struct WorkMeter(Cell<Work>);
+
+impl WorkMeter {
+    pub fn read(&self) -> Work {
+        self.0.get()
+    }
+
+    pub fn add_jobs(&self, count: usize) {
+        self.update(|work| work.jobs += count as u64);
+    }
+
+    pub fn add_machines(&self, count: usize) {
+        self.update(|work| work.machines += count as u64);
+    }
+
+    pub fn add_tasks(&self, count: usize) {
+        self.update(|work| work.tasks += count as u64);
+    }
+
+    pub fn add_reservations(&self, count: usize) {
+        self.update(|work| work.reservations += count as u64);
+    }
+
+    pub fn add_choices(&self, count: usize) {
+        self.update(|work| work.choices += count as u64);
+    }
+
+    fn update(&self, change: impl FnOnce(&mut Work)) {
+        let mut work = self.0.get();
+        change(&mut work);
+        self.0.set(work);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod config;
 pub mod core;
 pub mod ids;
+pub mod logging;
 pub mod net;
 pub mod peer;
 pub mod time;
--- /dev/null
+++ b/src/logging.rs
@@ -0,0 +1,94 @@
+//! The log: lines on standard error at the level that operators set, with a bound on the rate of `debug`
+//! lines. A leader under overload would otherwise spend its processor time on saying what it does.
+
+use env_logger::Logger;
+use log::{Level, LevelFilter, Log, Metadata, Record};
+use std::io::Write;
+use std::sync::{Mutex, PoisonError};
+use std::time::Instant;
+
+/// `debug` lines that may be written each second on average, and at once.
+const DEBUG_LINES_PER_SECOND: f64 = 500.0;
+const DEBUG_BURST: f64 = 2_000.0;
+
+/// A token bucket.
+struct LineBudget {
+    tokens: f64,
+    /// Lines left out since the last that was written.
+    left_out: u64,
+}
+
+impl LineBudget {
+    /// Whether a line may be written `elapsed_s` seconds after the last call, and how many were left out
+    /// before it.
+    fn admit(&mut self, elapsed_s: f64) -> Option<u64> {
+        self.tokens = (self.tokens + elapsed_s * DEBUG_LINES_PER_SECOND).min(DEBUG_BURST);
+        if self.tokens < 1.0 {
+            self.left_out += 1;
+            return None;
+        }
+        self.tokens -= 1.0;
+        Some(std::mem::take(&mut self.left_out))
+    }
+}
+
+struct BoundedLog {
+    inner: Logger,
+    debug_lines: Mutex<(LineBudget, Instant)>,
+}
+
+impl BoundedLog {
+    fn admit(&self) -> Option<u64> {
+        let mut guard = self.debug_lines.lock().unwrap_or_else(PoisonError::into_inner);
+        let (budget, asked_at) = &mut *guard;
+        let now = Instant::now();
+        let elapsed_s = (now - *asked_at).as_secs_f64();
+        *asked_at = now;
+        budget.admit(elapsed_s)
+    }
+}
+
+impl Log for BoundedLog {
+    fn enabled(&self, metadata: &Metadata) -> bool {
+        self.inner.enabled(metadata)
+    }
+
+    fn log(&self, record: &Record) {
+        if !self.inner.matches(record) {
+            return;
+        }
+        if record.level() >= Level::Debug {
+            let Some(left_out) = self.admit() else { return };
+            if left_out > 0 {
+                let args = format_args!("debug lines left out: {left_out}");
+                self.inner.log(&Record::builder().level(Level::Debug).target(record.target()).args(args).build());
+            }
+        }
+        self.inner.log(record);
+    }
+
+    fn flush(&self) {
+        self.inner.flush();
+    }
+}
+
+/// Starts logging at a level such as `info`. To be called once; later calls change nothing.
+pub fn start(level: &str) {
+    let inner = env_logger::Builder::new()
+        .filter_level(LevelFilter::Error)
+        .filter_module("wallstile", level.parse().unwrap_or(LevelFilter::Info))
+        .format(|buffer, record| {
+            let target = record.target().rsplit("::").next().unwrap_or_default();
+            writeln!(buffer, "{} {target}: {}", record.level().as_str().to_lowercase(), record.args())
+        })
+        .build();
+    let most = inner.filter();
+    let budget = LineBudget { tokens: DEBUG_BURST, left_out: 0 };
+    let log = BoundedLog { inner, debug_lines: Mutex::new((budget, Instant::now())) };
+    if log::set_boxed_logger(Box::new(log)).is_ok() {
+        log::set_max_level(most);
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,7 +2,7 @@
 
 use clap::{Parser, Subcommand};
 use std::process::ExitCode;
-use wallstile::{config, net};
+use wallstile::{config, logging, net};
 
 #[derive(Parser)]
 #[command(version, about = "A cluster scheduler. Runs one controller until it is killed.")]
@@ -36,15 +36,7 @@
             return ExitCode::from(2);
         }
     };
-    env_logger::Builder::new()
-        .filter_level(log::LevelFilter::Error)
-        .filter_module("wallstile", level.parse().unwrap_or(log::LevelFilter::Info))
-        .format(|buf, r| {
-            use std::io::Write;
-            let target = r.target().rsplit("::").next().unwrap_or_default();
-            writeln!(buf, "{} {target}: {}", r.level().as_str().to_lowercase(), r.args())
-        })
-        .init();
+    logging::start(&level);
     match run(cli) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
@@ -78,6 +70,7 @@
         tokio::spawn(net::election::run(node.clone()));
         tokio::spawn(net::forwarding::run(node.clone()));
         tokio::spawn(net::detours::run(node.clone()));
+        tokio::spawn(net::step_times::run(node.clone()));
         let sockets = node.settings.sockets();
         let users = net::server::serve(node.settings.listen, net::server::public(&node), sockets.public);
         let peers = net::server::serve(node.settings.peer_listen, net::server::internal(&node), sockets.peers);
--- a/src/net/election.rs
+++ b/src/net/election.rs
@@ -261,6 +261,6 @@
         inner.leadership.all_promised(asked_at, shortest);
     }
     drop(inner);
-    leading::feed(node, |_| ());
+    leading::carry_out(node);
     promised
 }
--- a/src/net/forwarding.rs
+++ b/src/net/forwarding.rs
@@ -82,6 +82,11 @@
         self.proven && has_room && self.destination(now).is_some()
     }
 
+    /// How many reports wait for the next batch.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
     /// Whether more workers may be sent here.
     pub fn has_capacity(&self, now: Mono) -> bool {
         self.is_open(now) && self.lag_ms < STRAINED_LAG_MS
--- a/src/net/leading.rs
+++ b/src/net/leading.rs
@@ -1,9 +1,10 @@
 //! The leader's work: loads the ledger, feeds it, and carries out what it asks for.
 
 use super::lookups;
-use super::node::Node;
+use super::node::{Inner, Node};
 use super::peers;
 use super::state::{StateError, commit_result};
+use super::step_times::Step;
 use crate::config::Peer;
 use crate::core::fleet::FLEET;
 use crate::core::leader::{Action, CommitResult, Leader, OrdersResult, RentResult, Stored, TICK};
@@ -21,6 +22,7 @@
 use serde_json::json;
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::time::Instant;
 
 pub const KINDS_KEY: &str = "ctl/kinds";
 /// How long a worker has to answer orders.
@@ -83,7 +85,9 @@
     };
     let now = node.now();
     let mut leader = Leader::new(node.settings.clone(), node.tuning.clone(), types, term, record, since);
+    let started = Instant::now();
     leader.load(now, stored);
+    node.lock().step_times.record(Step::Load, started.elapsed(), leader.work_done());
     {
         let now = node.now();
         let mut inner = node.lock();
@@ -106,27 +110,39 @@
 
 /// Feeds the ledger something and carries out what follows. Outside the bound of the leader's lease
 /// nothing is fed, so nothing goes out.
-pub fn feed<T>(node: &Arc<Node>, f: impl FnOnce(&mut Leader) -> T) -> Option<T> {
+pub fn feed<T>(node: &Arc<Node>, step: Step, input: impl FnOnce(&mut Leader) -> T) -> Option<T> {
     let now = node.now();
-    let (x, term, actions) = {
+    let (answer, term, actions) = {
         let mut inner = node.lock();
         let term = inner.leadership.acting(now)?;
-        let leader = inner.leader.as_mut()?;
-        let x = f(leader);
-        (x, term, leader.take_actions())
+        let (answer, actions) = timed(&mut inner, step, |leader| (input(leader), leader.take_actions()))?;
+        (answer, term, actions)
     };
-    for a in actions {
-        tokio::spawn(perform(node.clone(), term, a));
+    for action in actions {
+        tokio::spawn(perform(node.clone(), term, action));
     }
-    Some(x)
+    Some(answer)
+}
+
+/// Carries out what the leader has left to do.
+pub fn carry_out(node: &Arc<Node>) {
+    feed(node, Step::Result, |_| ());
+}
+
+/// Has the ledger, if there is one, take an input, and notes how long that took.
+fn timed<T>(inner: &mut Inner, step: Step, input: impl FnOnce(&mut Leader) -> T) -> Option<T> {
+    let leader = inner.leader.as_mut()?;
+    let (started, before) = (Instant::now(), leader.work_done());
+    let answer = input(leader);
+    let work = leader.work_done().since(&before);
+    inner.step_times.record(step, started.elapsed(), work);
+    Some(answer)
 }
 
 /// Tells the ledger something, if there is one: also while not acting, as it is knowledge and no order.
 fn inform(node: &Node, tell: impl FnOnce(&mut Leader, Mono)) {
     let now = node.now();
-    if let Some(leader) = &mut node.lock().leader {
-        tell(leader, now);
-    }
+    timed(&mut node.lock(), Step::Result, |leader| tell(leader, now));
 }
 
 /// Carries out an action of the leader of a term. This process may have been frozen since the action
@@ -138,7 +154,7 @@
         Action::Orders { ticket, endpoint, body } => {
             let result = if acting { send_orders(&node, &endpoint, &body).await } else { OrdersResult::Unknown };
             inform(&node, |leader, now| leader.on_orders_result(now, ticket, result));
-            feed(&node, |_| ());
+            carry_out(&node);
         }
         Action::Commit { ticket, txn } => {
             let result = match acting {
@@ -146,22 +162,22 @@
                 false => CommitResult::Refused,
             };
             inform(&node, |leader, now| leader.on_committed(now, ticket, result));
-            feed(&node, |_| ());
+            carry_out(&node);
         }
         Action::Reguard(txn) => {
             let revision = reguard(&node, &txn).await;
             inform(&node, |leader, now| leader.on_reguarded(now, revision));
-            feed(&node, |_| ());
+            carry_out(&node);
         }
         Action::Plan { node: peer, input } => {
             let plan = peers::ask_plan(&node, &peer, &input).await;
             let now = node.now();
-            feed(&node, |l| l.on_plan(now, &peer, plan));
+            feed(&node, Step::Plan, |leader| leader.on_plan(now, &peer, plan));
         }
         Action::LookUp(ids) => {
             let endings = lookups::endings(&node, &ids).await;
             inform(&node, |leader, now| leader.on_looked_up(now, &endings));
-            feed(&node, |_| ());
+            carry_out(&node);
         }
         Action::Rent(request) => {
             let result = match acting {
@@ -210,7 +226,7 @@
 async fn tick(node: &Arc<Node>, term: Term) {
     while still_leads(node, term) {
         let (now, wall) = (node.now(), node.wall());
-        feed(node, |l| l.tick(now, wall));
+        feed(node, Step::Tick, |leader| leader.tick(now, wall));
         tokio::time::sleep(TICK.std()).await;
     }
 }
@@ -265,7 +281,7 @@
                 tokio::time::sleep(Span(200).std()).await;
             }
         }
-        feed(node, |_| ());
+        carry_out(node);
     }
 }
 
@@ -276,7 +292,7 @@
     while still_leads(node, term) {
         if let Some(list) = node.cloud.list(&node.http, node.now()).await {
             let now = node.now();
-            feed(node, |l| l.on_list(now, &list));
+            feed(node, Step::Result, |leader| leader.on_list(now, &list));
         }
         if rounds % 8 == 1
             && let Some(types) = node.cloud.types(&node.http, node.now()).await
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -15,6 +15,7 @@
 pub mod reports;
 pub mod server;
 pub mod state;
+pub mod step_times;
 pub mod users;
 
 #[cfg(test)]
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -8,6 +8,7 @@
 use super::http::Http;
 use super::offloading::Offloading;
 use super::state::{StateClient, StateError};
+use super::step_times::StepTimes;
 use crate::config::{Settings, Tuning};
 use crate::core::cancellations::Cancellations;
 use crate::core::leader::Leader;
@@ -74,6 +75,7 @@
     pub offloading: Offloading,
     /// While leading: whether this controller is too slow for it.
     pub overload: Overload,
+    pub step_times: StepTimes,
 }
 
 /// Workers wait this long for an answer (PROTOCOL).
@@ -169,6 +171,7 @@
             detours: Detours::default(),
             offloading: Offloading::default(),
             overload: Overload::default(),
+            step_times: StepTimes::default(),
         };
         Arc::new(Node {
             settings,
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -2,15 +2,19 @@
 
 use super::leading;
 use super::node::Node;
+use super::step_times::Step;
 use crate::config::Peer;
 use crate::core::miser;
 use crate::core::records::Ending;
+use crate::core::work::WorkMeter;
 use crate::ids::{JobId, Revision, Term};
 use crate::peer::{Hello, HelloAnswer, PlanInput, PlanOutput, VERSION};
 use crate::time::Span;
+use bytes::Bytes;
 use hyper::Method;
 use prost::Message;
 use std::sync::Arc;
+use std::time::Instant;
 
 pub const HELLO: &str = "/peer/hello";
 pub const PLAN: &str = "/peer/plan";
@@ -68,7 +72,7 @@
     let hello = Hello::decode(body).ok().filter(|h| h.version == VERSION)?;
     let cancelled = jobs(&hello.cancelled)?;
     if !cancelled.is_empty() {
-        leading::feed(node, |l| cancelled.iter().for_each(|id| l.on_over(id, Ending::Cancelled)));
+        leading::feed(node, Step::Result, |l| cancelled.iter().for_each(|id| l.on_over(id, Ending::Cancelled)));
     }
     let now = node.now();
     let mut guard = node.lock();
@@ -108,7 +112,10 @@
 }
 
 /// Plans for a leader. It decides nothing: the leader checks every placement.
-pub fn plan(body: &[u8]) -> Option<Vec<u8>> {
-    let input = PlanInput::decode(body).ok().filter(|input| input.version == VERSION)?;
-    Some(miser::plan(&input).encode_to_vec())
+pub fn plan(node: &Node, body: &Bytes) -> Option<Vec<u8>> {
+    let input = PlanInput::decode(body.as_ref()).ok().filter(|input| input.version == VERSION)?;
+    let (started, meter) = (Instant::now(), WorkMeter::default());
+    let output = miser::plan_metered(&input, &meter);
+    node.lock().step_times.record(Step::PlanForPeer, started.elapsed(), meter.read());
+    Some(output.encode_to_vec())
 }
--- a/src/net/reports.rs
+++ b/src/net/reports.rs
@@ -3,6 +3,7 @@
 use super::forwarding::{self, Forwarded};
 use super::leading;
 use super::node::{Inner, Node};
+use super::step_times::Step;
 use crate::core::fleet::Route;
 use crate::core::leader::answer_without_ledger;
 use crate::ids::MachineId;
@@ -72,7 +73,7 @@
         reports.iter().map(|r| inner.moved_to(now, r, by)).collect::<Vec<_>>()
     };
     let route = route(node, by);
-    leading::feed(node, |leader| {
+    leading::feed(node, Step::Reports, |leader| {
         let decide_one = |(report, moved): (&Report, Option<String>)| match moved {
             Some(peer) => redirect(Some(&peer)),
             None => decided(leader.on_report_by(now, report, route)),
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -60,7 +60,7 @@
             Route::Withdraw => {
                 let id = req.param::<String>("id").unwrap_or_default();
                 reply(res, users::withdraw(node, &id).await);
-                leading::feed(node, |_| ());
+                leading::carry_out(node);
             }
             Route::Report => {
                 // Unreadable, it is answered like any other that is not a report.
@@ -71,7 +71,7 @@
             Route::Hello | Route::Plan | Route::Reports => {
                 let body = req.payload_with_max_size(MAX_PEER_BODY).await.ok();
                 let answer = body.and_then(|b| match self.route {
-                    Route::Plan => peers::plan(b),
+                    Route::Plan => peers::plan(node, b),
                     Route::Reports => reports::answer_batch(node, b),
                     _ => peers::answer(node, b),
                 });
--- /dev/null
+++ b/src/net/step_times.rs
@@ -0,0 +1,137 @@
+//! How long each input holds the core, and what it worked through. A controller has one thread: while the
+//! core works, renewals, reports and users wait.
+
+use super::node::Node;
+use crate::core::work::Work;
+use crate::time::Span;
+use hdrhistogram::Histogram;
+use log::{info, warn};
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// The line of figures is written this often.
+const LINE_INTERVAL: Span = Span(10_000);
+/// A step that takes this long is worth a line of its own.
+const LONG_STEP: Duration = Duration::from_millis(250);
+/// At most one such line in this time.
+const LONG_STEP_INTERVAL: Duration = Duration::from_secs(1);
+/// Longest step that the histograms tell apart, in microseconds.
+const LONGEST_MICROS: u64 = 600_000_000;
+
+/// What the core was given to work on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Step {
+    Tick,
+    Reports,
+    /// A peer's plan for a round of this leader.
+    Plan,
+    /// Planning for another leader.
+    PlanForPeer,
+    /// Results of orders, writes and look-ups, and what the watches say.
+    Result,
+    /// Reading the stored state on becoming leader.
+    Load,
+}
+
+impl Step {
+    fn name(self) -> &'static str {
+        match self {
+            Step::Tick => "tick",
+            Step::Reports => "reports",
+            Step::Plan => "plan",
+            Step::PlanForPeer => "plan_for_peer",
+            Step::Result => "result",
+            Step::Load => "load",
+        }
+    }
+}
+
+/// The longest step since the last line.
+struct Longest {
+    step: Step,
+    took: Duration,
+    work: Work,
+}
+
+/// Step times since the last line.
+#[derive(Default)]
+pub struct StepTimes {
+    histograms: BTreeMap<Step, Histogram<u64>>,
+    longest: Option<Longest>,
+    warned_at: Option<Instant>,
+    /// Long steps since then that got no line.
+    unmentioned: u32,
+}
+
+impl StepTimes {
+    /// Takes in a step that has just ended.
+    pub fn record(&mut self, step: Step, took: Duration, work: Work) {
+        let micros = (took.as_micros() as u64).clamp(1, LONGEST_MICROS);
+        let histogram = self.histograms.entry(step).or_insert_with(new_histogram);
+        histogram.saturating_record(micros);
+        if took >= LONG_STEP {
+            self.mention(step, took, &work);
+        }
+        if self.longest.as_ref().is_none_or(|longest| took > longest.took) {
+            self.longest = Some(Longest { step, took, work });
+        }
+    }
+
+    fn mention(&mut self, step: Step, took: Duration, work: &Work) {
+        if self.warned_at.is_some_and(|at| at.elapsed() < LONG_STEP_INTERVAL) {
+            self.unmentioned += 1;
+            return;
+        }
+        self.warned_at = Some(Instant::now());
+        let unmentioned = std::mem::take(&mut self.unmentioned);
+        warn!("long step: {} took {} ms, {work}, unmentioned={unmentioned}", step.name(), took.as_millis());
+    }
+
+    /// The figures since the last call; none: there was no step.
+    fn take_line(&mut self) -> Option<String> {
+        let longest = self.longest.take()?;
+        let mut line = String::new();
+        for (step, histogram) in std::mem::take(&mut self.histograms) {
+            let millis = |quantile: f64| histogram.value_at_quantile(quantile) as f64 / 1e3;
+            let (name, count) = (step.name(), histogram.len());
+            // Writing to a string can't fail.
+            let _ = write!(
+                line,
+                "{name} n={count} p50={:.2} p99={:.2} max={:.2} ms; ",
+                millis(0.5),
+                millis(0.99),
+                millis(1.0)
+            );
+        }
+        let _ = write!(line, "longest: {} {}", longest.step.name(), longest.work);
+        Some(line)
+    }
+}
+
+fn new_histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, LONGEST_MICROS, 2).expect("the bounds are constants that fit")
+}
+
+/// Writes the figures of this controller while it runs.
+pub async fn run(node: Arc<Node>) {
+    loop {
+        tokio::time::sleep(LINE_INTERVAL.std()).await;
+        let now = node.now();
+        let mut inner = node.lock();
+        let Some(line) = inner.step_times.take_line() else { continue };
+        info!("steps: {line}");
+        let term = inner.leadership.acting(now);
+        let (reports, requests) = (inner.forwarding.waiting(), inner.user_requests);
+        match (&inner.leader, term) {
+            (Some(leader), Some(term)) => {
+                info!("load: acting term={term} {} reports={reports} requests={requests}", leader.load_figures());
+            }
+            _ => info!("load: not acting, leader={:?} reports={reports} requests={requests}", inner.leader_name),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/net/step_times/tests.rs
@@ -0,0 +1,23 @@
+use super::*;
+
+#[test]
+fn a_line_says_how_long_steps_took_and_what_the_longest_worked_through() {
+    let mut times = StepTimes::default();
+    assert_eq!(times.take_line(), None);
+    let work = Work { machines: 4_000, tasks: 7, ..Work::default() };
+    times.record(Step::Tick, Duration::from_millis(3), work);
+    times.record(Step::Reports, Duration::from_millis(1), Work::default());
+    let line = times.take_line().expect("there were steps");
+    assert!(line.contains("tick n=1") && line.contains("reports n=1"), "{line}");
+    assert!(line.contains("longest: tick jobs=0 machines=4000 tasks=7"), "{line}");
+    assert_eq!(times.take_line(), None, "each step is in one line");
+}
+
+#[test]
+fn long_steps_are_mentioned_at_a_bounded_rate() {
+    let mut times = StepTimes::default();
+    for _ in 0..100 {
+        times.record(Step::Tick, Duration::from_millis(300), Work::default());
+    }
+    assert_eq!(times.unmentioned, 99);
+}
