--- a/src/core/leader/tests.rs
+++ b/src/core/leader/tests.rs
@@ -1,5 +1,6 @@
 //! Single situations, played against a leader with workers that answer at once.
 
+mod bounded_work;
 mod leaders;
 mod machines;
 mod pipelines;
@@ -27,6 +28,8 @@
     /// Writes get no answer; they are kept here.
     unanswered: Option<Vec<Txn>>,
     committed: Vec<Txn>,
+    /// The most work that a tick took.
+    longest_tick: Work,
     /// What the state service holds.
     store: BTreeMap<String, (Value, u64)>,
     term: Term,
@@ -104,6 +107,7 @@
             store,
             term: TERM,
             committed: Vec::new(),
+            longest_tick: Work::default(),
         }
     }
 
@@ -210,7 +214,12 @@
         let end = self.now + ms;
         while self.now < end {
             self.now += TICK.0;
+            let before = self.leader.work_done();
             self.leader.tick(Mono(self.now), Wall(self.now));
+            let work = self.leader.work_done().since(&before);
+            if work.total() > self.longest_tick.total() {
+                self.longest_tick = work;
+            }
             if self.now.is_multiple_of(500) {
                 for name in self.workers.keys().cloned().collect::<Vec<_>>() {
                     if !self.mute.contains(&name) {
