A job inherits a bounded number of goals from the jobs after it

A ladder of jobs that each await both of the rung before doubles them at every rung; a chain of 20,000 keeps a list for each job as long as the chain behind it.

Change: of the inherited goals the 64 that come first are kept, each once. Ordinary pipelines have far fewer; their decisions are the same (goals were sorted and told apart before they were used).

Result: the new test, a ladder of 40 rungs, would need 2^39 goals without it.

--- a/src/core/pipelines.rs
+++ b/src/core/pipelines.rs
@@ -6,6 +6,9 @@
 use crate::wire::Priority;
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Most goals that a job inherits: those of all jobs after it in an ordinary pipeline are far fewer.
+const MOST_GOALS: usize = 64;
+
 #[derive(Default)]
 pub struct Pipelines {
     /// For each awaited job, the live jobs that await it.
@@ -160,6 +163,15 @@
     }
 }
 
+/// The goals that come first, each once. Without a limit a ladder of jobs, each awaiting both of the rung
+/// before, would double them at every rung.
+fn tightest(mut goals: Vec<f64>) -> Vec<f64> {
+    goals.sort_by(f64::total_cmp);
+    goals.dedup();
+    goals.truncate(MOST_GOALS);
+    goals
+}
+
 impl Inherited {
     /// What a job inherits that no other needs.
     fn nothing() -> Inherited {
@@ -173,18 +185,18 @@
         Inherited {
             priority: self.priority.min(stage.priority),
             due_s: due_s.map(|due_s| due_s - least_s),
-            goals: self.goals.iter().chain(&stage.goals).map(|goal| goal - least_s).collect(),
+            goals: tightest(self.goals.iter().chain(&stage.goals).map(|goal| goal - least_s).collect()),
             rank_s: self.rank_s + least_s,
         }
     }
 
     /// What a job inherits from two successors.
-    fn joined(mut self, other: Inherited) -> Inherited {
-        self.goals.extend(other.goals);
+    fn joined(self, other: Inherited) -> Inherited {
+        let goals = tightest([self.goals, other.goals].concat());
         Inherited {
             priority: self.priority.min(other.priority),
             due_s: self.due_s.into_iter().chain(other.due_s).reduce(f64::min),
-            goals: self.goals,
+            goals,
             rank_s: self.rank_s.max(other.rank_s),
         }
     }
--- a/src/core/pipelines/tests.rs
+++ b/src/core/pipelines/tests.rs
@@ -128,3 +128,21 @@
     pipelines.remove(&id(9), &ids(&[1, 2, 3]));
     assert!(pipelines.next_unresolved(9).is_empty());
 }
+
+#[test]
+fn a_ladder_of_jobs_hands_on_a_bounded_number_of_goals() {
+    // Rungs of two jobs that both await both of the rung before: twice the paths at every rung, each of
+    // another length.
+    let mut ladder = Pipelines::default();
+    let rungs = 40;
+    for rung in 1..rungs {
+        for side in 0..2 {
+            ladder.add(id(2 * rung + side), &ids(&[2 * rung - 2, 2 * rung - 1]), |_| true);
+        }
+    }
+    let run_s = |job: &JobId| (0..2 * rungs).find(|n| id(*n) == *job).map_or(1.0, |n| 1.0 + 0.01 * f64::from(n * n));
+    let inherited = ladder.inherit(|job| Some(stage(Priority::Low, Some(1_000.0), run_s(job))));
+    assert!(inherited.values().all(|i| i.goals.len() <= MOST_GOALS));
+    let first = &inherited[&id(0)];
+    assert_eq!(first.due_s, first.goals.first().copied(), "the tightest goal is kept");
+}
