Benchmark of growth by counts; the core benchmark's workers confirm their token again

Need: how the work for one input grows from 500 to 6,000 machines, with demand for three times the room, without timing.

Workers now take the token with their orders, in one place for all benchmarks, and core and growth share one simulated fleet.

--- a/benches/load.rs
+++ b/benches/load.rs
@@ -92,8 +92,7 @@
         let Ok((200, body)) = answer else { continue };
         let Ok(answer) = serde_json::from_slice::<ReportAnswer>(&body) else { continue };
         let mut worker = worker.lock().expect("no holder panics");
-        worker.report.token = worker.report.token.max(answer.token);
-        worker.execute(now, &answer.orders);
+        worker.obey(now, answer.token, &answer.orders);
     }
 }
 
--- /dev/null
+++ b/benches/support/fleet.rs
@@ -0,0 +1,130 @@
+//! A leader with simulated workers: everything else answers at once, and the cloud has no machines.
+
+use crate::worker::{REPORT_MS, Worker};
+use std::time::{Duration, Instant};
+use wallstile::config::{Settings, Tuning};
+use wallstile::core::fleet::{FLEET, FleetRecord};
+use wallstile::core::leader::{Action, CommitResult, Leader, OrdersResult, RentResult, Stored, TICK};
+use wallstile::core::leadership::LeaderRecord;
+use wallstile::core::records::LiveRecord;
+use wallstile::core::work::Work;
+use wallstile::ids::{JobId, LeaseId, Revision, Term};
+use wallstile::time::{Mono, Wall};
+use wallstile::wire::{JobSpec, Row};
+
+/// What the leader was given.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Input {
+    Tick,
+    Report,
+    Answer,
+}
+
+/// One input, with the time that it took and what the leader looked at.
+pub struct Observation {
+    pub input: Input,
+    pub took: Duration,
+    pub work: Work,
+}
+
+pub struct Fleet {
+    pub leader: Leader,
+    pub workers: Vec<Worker>,
+    /// Milliseconds since the leader began.
+    pub now: u64,
+    pub commits: u64,
+    revision: u64,
+    observed: Vec<Observation>,
+}
+
+impl Fleet {
+    /// Of the machines, the first so many are recorded by an earlier leader: those may get tasks once they
+    /// have reported, the others after their records are written, at the rate of the state service.
+    pub fn new(machines: usize, recorded: usize) -> Fleet {
+        let settings = Settings::parse(include_str!("../../tests/settings.json")).expect("the sample is valid");
+        let record = LeaderRecord { node: settings.name.clone(), incarnation: 1, lease: LeaseId(1) };
+        let types = crate::workload::machine_types();
+        let mut fleet = Fleet {
+            leader: Leader::new(settings, Tuning::default(), types, Term(1), record, Mono(0)),
+            workers: (0..machines).map(|i| Worker::new(i, machines, i.to_string())).collect(),
+            now: 0,
+            commits: 0,
+            revision: 1,
+            observed: Vec::new(),
+        };
+        fleet.load(recorded);
+        fleet
+    }
+
+    /// Gives the leader what an earlier one has recorded.
+    fn load(&mut self, machines: usize) {
+        let row = |worker: &Worker| {
+            let report = &worker.report;
+            let (endpoint, kind, zone) = (report.endpoint.clone(), report.kind.clone(), report.zone.clone());
+            let record = FleetRecord { endpoint, kind, zone, spot: report.spot };
+            Row { path: format!("{FLEET}{}", report.machine), value: serde_json::json!(record), revision: 1 }
+        };
+        let fleet = self.workers.iter().take(machines).map(row).collect();
+        self.leader.load(Mono(0), Stored { fleet, ..Stored::default() });
+    }
+
+    pub fn submit(&mut self, spec: JobSpec) {
+        self.revision += 1;
+        let id = JobId::parse(&spec.id).expect("a legal id");
+        let record = serde_json::json!(LiveRecord { at: Wall(self.now), spec, awaits: Vec::new() });
+        self.leader.on_live(&id, &record, Revision(self.revision));
+    }
+
+    /// Plays one tick, the reports that are due and all that follows. Returns what it took.
+    pub fn step(&mut self) -> Vec<Observation> {
+        self.now += TICK.0;
+        let (now, wall) = (Mono(self.now), Wall(self.now));
+        self.observe(Input::Tick, |leader| leader.tick(now, wall));
+        for at in 0..self.workers.len() {
+            let worker = &mut self.workers[at];
+            let changed = worker.step(self.now);
+            if changed || worker.report_at <= self.now {
+                worker.report_at = self.now + REPORT_MS;
+                let report = worker.next_report();
+                let answer = self.observe(Input::Report, |leader| leader.on_report(now, &report));
+                if let Some(answer) = answer {
+                    self.workers[at].obey(self.now, answer.token, &answer.orders);
+                }
+            }
+        }
+        let mut actions = self.leader.take_actions();
+        while !actions.is_empty() {
+            actions.into_iter().for_each(|action| self.perform(action));
+            actions = self.leader.take_actions();
+        }
+        std::mem::take(&mut self.observed)
+    }
+
+    fn perform(&mut self, action: Action) {
+        let now = Mono(self.now);
+        match action {
+            Action::Orders { ticket, endpoint, body } => {
+                let worker = &mut self.workers[endpoint.parse::<usize>().expect("a worker's number")];
+                worker.obey(self.now, body.token, &body.orders);
+                let result = OrdersResult::Executed(worker.next_report());
+                self.observe(Input::Answer, |leader| leader.on_orders_result(now, ticket, result));
+            }
+            Action::Commit { ticket, .. } => {
+                self.commits += 1;
+                self.observe(Input::Answer, |leader| leader.on_committed(now, ticket, CommitResult::Done));
+            }
+            Action::Rent(request) => {
+                self.observe(Input::Answer, |leader| leader.on_rented(now, &request.name, RentResult::NoCapacity));
+            }
+            Action::Return(_) | Action::Plan { .. } | Action::Reguard(_) | Action::LookUp(_) => {}
+        }
+    }
+
+    fn observe<T>(&mut self, input: Input, give: impl FnOnce(&mut Leader) -> T) -> T {
+        let (before, started) = (self.leader.work_done(), Instant::now());
+        let answer = give(&mut self.leader);
+        let (took, work) = (started.elapsed(), self.leader.work_done().since(&before));
+        self.observed.push(Observation { input, took, work });
+        answer
+    }
+}
--- a/benches/support/stand_ins.rs
+++ b/benches/support/stand_ins.rs
@@ -188,8 +188,7 @@
             return send(response, 400, json!({}).to_string());
         };
         let mut worker = self.0.lock().expect("no holder panics");
-        worker.report.token = worker.report.token.max(orders.token);
-        worker.execute(self.2.elapsed().as_millis() as u64, &orders.orders);
+        worker.obey(self.2.elapsed().as_millis() as u64, orders.token, &orders.orders);
         let report = serde_json::to_string(&worker.next_report()).expect("a report is JSON");
         drop(worker);
         send(response, 200, report);
--- a/benches/support/worker.rs
+++ b/benches/support/worker.rs
@@ -43,7 +43,9 @@
         Worker { report, ends: BTreeMap::new(), report_at: index as u64 * REPORT_MS / machines as u64 }
     }
 
-    pub fn execute(&mut self, now: u64, orders: &[Order]) {
+    /// Takes orders under a token, which the next reports carry.
+    pub fn obey(&mut self, now: u64, token: FencingToken, orders: &[Order]) {
+        self.report.token = self.report.token.max(token);
         for order in orders {
             match order {
                 Order::Run { task, attempt } => {
