A planner compares a bounded number of jobs with all places in one round

Cause: each round compared every waiting job with every place; with 1,300 jobs waiting on 4,000 empty machines that is 5 million choices for one input, by the leader and by each peer that plans for it, and their memory.

Change: a round begins with at most 131,072 comparisons, between 32 and 256 jobs: three quarters the most urgent, the rest in turn, so nobody starves. Machines opened in a round are entered for a job only while they have room. Deployments with up to 500 places and 256 waiting jobs a planner see no change.

--- a/src/core/miser.rs
+++ b/src/core/miser.rs
@@ -10,6 +10,11 @@
 use crate::peer::{JobView, Placement, PlanInput, PlanOutput, VERSION, Waiting, Wish, ZoneCount};
 
 const EPS: f64 = 1e-6;
+/// Most comparisons of jobs with places that a round begins with, and the fewest and most jobs that it plans
+/// for. The rest is planned for in later rounds.
+const MOST_CHOICES: usize = 131_072;
+const LEAST_JOBS: usize = 32;
+const MOST_JOBS: usize = 256;
 /// How many times a batch a round looks ahead to machines that aren't up yet.
 const OUTLOOK: u32 = 8;
 /// Priorities up to this one (prod, high) are not stopped for GPU jobs.
@@ -71,6 +76,30 @@
         && input.jobs.iter().all(|j| j.tasks <= crate::core::submissions::MAX_TASKS && j.ready <= j.tasks)
 }
 
+/// Jobs of a higher class go first: of higher priority, then within a guarantee, then with fewer aims missed.
+fn class_of(j: &JobView) -> (u32, bool, u32) {
+    (j.priority, !j.guaranteed, j.missed)
+}
+
+/// The jobs that this round plans for. Each is compared with every place, so where both are many, the most
+/// urgent are considered, and of the others some in each round, in turn: nobody starves.
+fn considered(input: &PlanInput) -> Vec<&JobView> {
+    let places = (input.machines.len() + input.offers.len()).max(1);
+    let most = (MOST_CHOICES / places).clamp(LEAST_JOBS, MOST_JOBS);
+    let mut jobs: Vec<&JobView> = input.jobs.iter().filter(|j| j.ready > 0).collect();
+    if jobs.len() <= most {
+        return jobs;
+    }
+    let left_s = |j: &JobView| j.goal_s.or(j.due_s).unwrap_or(-j.age_s);
+    jobs.sort_by(|a, b| class_of(a).cmp(&class_of(b)).then(left_s(a).total_cmp(&left_s(b))));
+    let in_turn = most / 4;
+    let mut others = jobs.split_off(most - in_turn);
+    others.sort_by_key(|j| j.key);
+    let first = (input.round as usize).wrapping_mul(in_turn) % others.len();
+    jobs.extend(others[first..].iter().chain(&others[..first]).take(in_turn));
+    jobs
+}
+
 /// The plan for a view.
 pub fn plan(input: &PlanInput) -> PlanOutput {
     plan_metered(input, &WorkMeter::default())
@@ -81,7 +110,8 @@
     if !sound(input) {
         return PlanOutput::default();
     }
-    let mut p = Planner::new(input);
+    let jobs = considered(input);
+    let mut p = Planner::new(input, meter);
     let mut out = PlanOutput { version: VERSION, term: input.term, round: input.round, ..Default::default() };
     // What only waits for machines to come up starts nothing, but says how many are wanted: a limit
     // of its own, or a long queue's demand would be seen a batch at a time.
@@ -89,14 +119,12 @@
     // Jobs of higher priority go first, within one priority what a guarantee covers, and of that
     // what can still meet the most of its aims: under overload the rest would only make it late
     // as well (ours).
-    let class_of = |j: &JobView| (j.priority, !j.guaranteed, j.missed);
-    let mut classes: Vec<(u32, bool, u32)> = input.jobs.iter().map(class_of).collect();
+    let mut classes: Vec<(u32, bool, u32)> = jobs.iter().map(|j| class_of(j)).collect();
     classes.sort_unstable();
     classes.dedup();
     for class in classes {
         let mut active: Vec<Active> =
-            input.jobs.iter().filter(|j| class_of(j) == class && j.ready > 0).map(|j| p.activate(j)).collect();
-        meter.add_choices(active.len() * p.places.len());
+            jobs.iter().copied().filter(|j| class_of(j) == class).map(|j| p.activate(j)).collect();
         // Round-robin over the jobs (paper, lines 7-9). The tasks of a job are alike here, so its
         // top task by rank (eq. 1) is any. Which job begins is open in the paper: the one with the
         // least time left of those that can still make it, then the late ones by age (ours).
--- a/src/core/miser/planner.rs
+++ b/src/core/miser/planner.rs
@@ -2,10 +2,13 @@
 
 use super::places::{Place, Reach, Room};
 use super::{Choice, EPS, log_normal_cdf, quality, sub_deadline, zone_allowed};
+use crate::core::work::WorkMeter;
 use crate::peer::{JobView, PlanInput, Waiting, ZoneCount};
 
 pub(super) struct Planner<'a> {
     input: &'a PlanInput,
+    /// Counts the places that jobs are compared with.
+    meter: &'a WorkMeter,
     pub(super) places: Vec<Place>,
     offers_left: Vec<u32>,
     cpus_left: std::collections::BTreeMap<u32, (f64, f64)>,
@@ -55,9 +58,10 @@
 }
 
 impl<'a> Planner<'a> {
-    pub(super) fn new(input: &'a PlanInput) -> Planner<'a> {
+    pub(super) fn new(input: &'a PlanInput, meter: &'a WorkMeter) -> Planner<'a> {
         let mut p = Planner {
             input,
+            meter,
             places: Vec::new(),
             offers_left: input.offers.iter().map(|o| o.most).collect(),
             cpus_left: input.teams.iter().map(|t| (t.team, (t.cpus, t.gpus))).collect(),
@@ -120,6 +124,7 @@
     }
 
     pub(super) fn activate(&self, j: &'a JobView) -> Active<'a> {
+        self.meter.add_choices(self.places.len());
         let reach = if j.service { Reach::Plain } else { Reach::Spare };
         let choices: Vec<Option<Choice>> = (0..self.places.len()).map(|i| self.choice_for(j, i, reach)).collect();
         let known = || choices.iter().flatten();
@@ -265,12 +270,18 @@
     /// Enters a machine of an offer that was opened since: behind the one opened before it, which
     /// is its equal.
     fn enter_opened(&self, a: &mut Active, i: usize) {
+        self.meter.add_choices(1);
+        // Others may have filled it already, and room only shrinks.
+        if !self.has_room(a, i) {
+            return;
+        }
         let Some(c) = &a.choices[i] else { return };
         let offer = self.places[i].offer;
         let Some(at) = a.order.list.iter().rposition(|(o, _, _)| self.places[*o].offer == offer) else {
             a.order.built = false;
             return;
         };
+        self.meter.add_choices(a.order.list.len() - at);
         let in_time = a.order.list[at].2;
         a.order.list.insert(at + 1, (i, c.cost, in_time));
         a.order.passing = a.order.passing.min(at + 1);
@@ -279,6 +290,7 @@
 
     /// Puts the places open to the job in order of quality.
     fn compare(&self, a: &mut Active) {
+        self.meter.add_choices(a.choices.len());
         let open: Vec<usize> = (0..a.choices.len())
             .filter(|i| a.choices[*i].is_some() && self.has_room(a, *i) && self.may_be_in(a, *i))
             .collect();
--- a/src/core/miser/tests.rs
+++ b/src/core/miser/tests.rs
@@ -60,7 +60,8 @@
     (booting.up, booting.ready_s, booting.spot) = (false, 12.0, true);
     let mut i = input(vec![machine(0, 8.0), booting], vec![job(0, 1)]);
     i.offers = vec![Offer { kind: 0, zone: 0, spot: false, most: 1 }];
-    let p = Planner::new(&i);
+    let meter = WorkMeter::default();
+    let p = Planner::new(&i, &meter);
     // Running: 1 GB at 0.5 GB/s, then 36 s, on a quarter of a machine at 1.0 an hour.
     let up = p.choice(&i.jobs[0], 0).unwrap();
     assert_eq!((up.finish_s, up.start_s, up.reliability), (38.0, 2.0, 1.0));
@@ -208,3 +209,25 @@
     i.machines[0].kind = 7;
     assert_eq!(plan(&i), PlanOutput::default());
 }
+
+#[test]
+fn of_too_many_jobs_the_most_urgent_are_planned_for_and_the_others_in_turn() {
+    let places = MOST_CHOICES / LEAST_JOBS;
+    let full = (0..places as u32).map(|key| machine(key, 0.0)).collect();
+    let urgent = |key: u32| key.is_multiple_of(20);
+    let jobs = (0..400).map(|key| JobView { priority: if urgent(key) { 0 } else { 2 }, ..job(key, 1) }).collect();
+    let mut input = input(full, jobs);
+    let mut rounds_of = vec![0; 400];
+    for round in 0..64 {
+        input.round = round;
+        let jobs = considered(&input);
+        assert_eq!(jobs.len(), LEAST_JOBS, "the work of a round is bounded");
+        jobs.iter().for_each(|j| rounds_of[j.key as usize] += 1);
+    }
+    let (most_urgent, others): (Vec<_>, Vec<_>) =
+        rounds_of.iter().enumerate().partition(|(key, _)| urgent(*key as u32));
+    assert!(most_urgent.iter().all(|(_, rounds)| **rounds == 64));
+    assert!(others.iter().all(|(_, rounds)| **rounds >= 1), "nobody starves: {others:?}");
+    input.jobs.truncate(LEAST_JOBS);
+    assert_eq!(considered(&input).len(), LEAST_JOBS);
+}
