--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -3,6 +3,7 @@
 //! A task counts as on a machine from before its order is sent until there is proof that it is
 //! gone. What counts as proof is decided here and in [`super::leader`], nowhere else.
 
+use crate::core::rentals::Market;
 use crate::ids::{Attempt, FencingToken, MachineId, Sequence, Session, TaskId};
 use crate::time::{Mono, Span};
 use crate::wire::{JobSpec, MachineType, Order, Priority, TaskPhase};
@@ -52,6 +53,12 @@
         self.gpus -= o.gpus;
         self.memory_gb -= o.memory_gb;
     }
+    /// Raises each part to at least that of the other.
+    pub fn raise_to(&mut self, o: &Amount) {
+        self.cpus = self.cpus.max(o.cpus);
+        self.gpus = self.gpus.max(o.gpus);
+        self.memory_gb = self.memory_gb.max(o.memory_gb);
+    }
     pub fn holds(&self, o: &Amount) -> bool {
         let e = 1e-6;
         o.cpus <= self.cpus + e && o.gpus <= self.gpus + e && o.memory_gb <= self.memory_gb + e
@@ -213,6 +220,11 @@
         }
     }
 
+    /// What the cloud tells its capacity apart by.
+    pub fn market(&self) -> Market {
+        Market { kind: self.kind, zone: self.zone, spot: self.spot }
+    }
+
     pub fn used(&self) -> Amount {
         let mut a = Amount::default();
         for s in self.slots.values().filter(|s| !s.exited()) {
--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -54,6 +54,8 @@
     /// When its tasks first counted on a spot machine that is not up yet.
     pub spot_wait_since: Option<Mono>,
     pub no_new_spot: bool,
+    /// The leader's last round in which work was to be stopped for it.
+    pub room_sought_in: u64,
 }
 
 impl Job {
@@ -82,6 +84,7 @@
             pause_until: Mono(0),
             spot_wait_since: None,
             no_new_spot: false,
+            room_sought_in: 0,
             spec: record.spec,
         }
     }
--- /dev/null
+++ b/src/core/leader/consolidation.rs
@@ -0,0 +1,114 @@
+//! Moving replicas together, so that machines that do nothing else can go back.
+
+use super::planner_view::zone_counts;
+use super::*;
+
+/// At most one replica moves in this time.
+const MOVE_INTERVAL: Span = Span(1_000);
+/// A machine with less than this in use may be emptied.
+const LITTLE_USED: f64 = 0.5;
+/// Looks that one search may take, for each machine and at the least; the next one goes on from there.
+const LOOKS_PER_MACHINE: usize = 64;
+const LEAST_LOOKS: usize = 16_384;
+
+/// A machine that works, and how much of it is in use.
+struct Loaded<'a> {
+    id: &'a MachineId,
+    machine: &'a Machine,
+    /// From 0 to 1, of what is scarcest on it.
+    share: f64,
+    free: Amount,
+}
+
+/// A replica that should be on another machine.
+struct Move {
+    from: MachineId,
+    to: MachineId,
+    slot: SlotKey,
+    need: Amount,
+}
+
+impl Leader {
+    /// Moves a replica off a machine that does nothing else, onto one that is busy anyway, so that the
+    /// former can go back. One at a time, and only while nothing waits.
+    pub(super) fn consolidate(&mut self, now: Mono) {
+        if now < self.move_at || !self.reservations.is_empty() || self.jobs.values().any(|j| j.startable_tasks() > 0) {
+            return;
+        }
+        self.move_at = now + MOVE_INTERVAL;
+        let (found, tried) = self.find_move(now);
+        self.move_sources_tried = tried;
+        let Some(Move { from, to, slot, need }) = found else { return };
+        info!("moving {} from {from} to {to}", slot.0);
+        self.stop_task(&from, &slot);
+        self.reservations.add(now, to, slot.0.job, need);
+    }
+
+    /// A replica to move, and how many machines have been tried in vain if the search isn't through.
+    fn find_move(&self, now: Mono) -> (Option<Move>, usize) {
+        let quiet = self.quiet();
+        let usable = self.machines.iter().filter(|(_, m)| m.usable(now, quiet) && m.busy());
+        let mut loaded: Vec<Loaded> = usable.map(|(id, m)| self.loaded(id, m)).collect();
+        // The fullest first.
+        loaded.sort_by(|a, b| b.share.total_cmp(&a.share).then(b.id.cmp(a.id)));
+        let mut sources: Vec<&Loaded> = loaded.iter().filter(|l| self.may_be_emptied(l)).collect();
+        let waste = |l: &Loaded| self.types[l.machine.kind].price * (1.0 - l.share);
+        sources.sort_by(|a, b| waste(b).total_cmp(&waste(a)).then(a.id.cmp(b.id)));
+        let mut looks = self.machines.len();
+        let most = LEAST_LOOKS + LOOKS_PER_MACHINE * self.machines.len();
+        let tried = self.move_sources_tried.min(sources.len());
+        for (at, source) in sources.iter().enumerate().skip(tried) {
+            if looks > most {
+                self.work.add_machines(looks);
+                return (None, at);
+            }
+            let found = self.move_from(now, source, &loaded, &mut looks);
+            if found.is_some() {
+                self.work.add_machines(looks);
+                return (found, 0);
+            }
+        }
+        self.work.add_machines(looks);
+        (None, 0)
+    }
+
+    fn loaded<'a>(&self, id: &'a MachineId, machine: &'a Machine) -> Loaded<'a> {
+        let t = &self.types[machine.kind];
+        let used = machine.used();
+        let share = (used.cpus / t.cpus.max(0.1)).max(used.memory_gb / t.memory_gb.max(0.1));
+        let mut free = Amount::of_type(t);
+        free.sub(&used);
+        Loaded { id, machine, share, free }
+    }
+
+    /// Whether a machine does nothing but run a few replicas.
+    fn may_be_emptied(&self, l: &Loaded) -> bool {
+        let is_service = |k: &SlotKey| self.jobs.get(&k.0.job).is_some_and(|j| j.spec.kind == Kind::Service);
+        let stays = |(k, s): (&SlotKey, &Slot)| !s.exited() && s.stop.is_none() && is_service(k);
+        l.share < LITTLE_USED && l.machine.in_flight.is_none() && l.machine.slots.iter().all(stays)
+    }
+
+    /// A replica of a machine that another one, of `loaded`, can take: the fullest that can.
+    fn move_from(&self, now: Mono, source: &Loaded, loaded: &[Loaded], looks: &mut usize) -> Option<Move> {
+        let from_gpus = self.types[source.machine.kind].gpus > 0.0;
+        for (key, slot) in &source.machine.slots {
+            let Some(job) = self.jobs.get(&key.0.job) else { continue };
+            let mut zones = zone_counts(job, &self.machines);
+            zones.iter_mut().filter(|z| z.zone == source.machine.zone).for_each(|z| z.count -= 1);
+            let spec = &job.spec;
+            let fits = |l: &&Loaded| {
+                l.free.holds(&slot.need)
+                    && l.id != source.id
+                    && self.types[l.machine.kind].gpus <= 0.0
+                    && l.machine.image_ready(slot.image, now) == Some(0.0)
+                    && self.permits(spec, l.machine)
+                    && miser::zone_allowed(spec.spread, spec.one_zone, spec.tasks, &zones, l.machine.zone)
+            };
+            let fuller = loaded.iter().take_while(|l| from_gpus || l.share > source.share);
+            if let Some(to) = fuller.inspect(|_| *looks += 1).find(fits) {
+                return Some(Move { from: source.id.clone(), to: to.id.clone(), slot: *key, need: slot.need });
+            }
+        }
+        None
+    }
+}
--- a/src/core/leader/mod.rs
+++ b/src/core/leader/mod.rs
@@ -3,11 +3,13 @@
 //! carry out the actions it leaves behind.
 
 mod awaited;
+mod consolidation;
 mod gpu_demand;
 mod machines;
 mod planner_view;
 mod reservations;
 mod room;
+mod room_survey;
 mod rounds;
 #[cfg(test)]
 mod tests;
@@ -35,8 +37,8 @@
 use crate::core::work::{Work, WorkMeter};
 use crate::ids::{Attempt, FencingToken, JobId, MAX_FENCE, MachineId, Revision, Sequence, TaskId, Term};
 use crate::peer::{
-    ImageView, JobCount, JobView, MachineView, Offer, PlanInput, PlanOutput, TeamLeft, TypeView, VERSION, Wish,
-    ZoneCount,
+    ImageView, JobCount, JobView, MachineView, Offer, PlanInput, PlanOutput, TeamLeft, TypeView, VERSION, Waiting,
+    Wish, ZoneCount,
 };
 use crate::time::{Mono, Span, Wall};
 use crate::wire::{
@@ -183,11 +185,15 @@
     lent: BTreeSet<MachineId>,
     open_round: Option<Round>,
     reservations: Reservations,
+    /// The last job whose reservations were tried: the next ones have their turn.
+    reservations_tried_to: Option<JobId>,
     move_at: Mono,
+    /// Machines that the last search for a replica to move began with, in vain, before its budget was spent.
+    move_sources_tried: usize,
     /// The jobs within their team's guarantee, as of the last round.
     within_guarantee: BTreeSet<JobId>,
-    /// Some machine may not be accounted for yet.
-    unaccounted: bool,
+    /// Where machines may not be accounted for yet, as of the last round; none is added after the load.
+    unaccounted: BTreeSet<Market>,
     /// So many machines don't confirm what they are told that it is rather this controller that
     /// is slow or cut off.
     many_unacknowledged: bool,
@@ -260,6 +266,23 @@
     pub shares: Option<Value>,
 }
 
+impl Stored {
+    /// The same in parts of at most so many rows, done sets after all jobs.
+    pub fn into_parts(self, rows: usize) -> Vec<Stored> {
+        let Stored { live, bits, fleet, shares } = self;
+        let live = in_chunks(live, rows).map(|live| Stored { live, ..Stored::default() });
+        let bits = in_chunks(bits, rows).map(|bits| Stored { bits, ..Stored::default() });
+        let fleet = in_chunks(fleet, rows).map(|fleet| Stored { fleet, ..Stored::default() });
+        let shares = shares.map(|shares| Stored { shares: Some(shares), ..Stored::default() });
+        live.chain(bits).chain(fleet).chain(shares).collect()
+    }
+}
+
+fn in_chunks(rows: Vec<Row>, most: usize) -> impl Iterator<Item = Vec<Row>> {
+    let mut rows = rows.into_iter();
+    std::iter::from_fn(move || Some(rows.by_ref().take(most).collect::<Vec<Row>>()).filter(|chunk| !chunk.is_empty()))
+}
+
 impl Leader {
     pub fn new(
         settings: Settings,
@@ -336,9 +359,11 @@
             types,
             open_round: None,
             reservations: Reservations::default(),
+            reservations_tried_to: None,
             move_at: now,
+            move_sources_tried: 0,
             within_guarantee: BTreeSet::new(),
-            unaccounted: false,
+            unaccounted: BTreeSet::new(),
             many_unacknowledged: false,
             looked_at: now,
             ticked_at: now,
@@ -422,57 +447,72 @@
 
     // ---- becoming leader
 
-    /// What the state service holds. A row that can't be read is left alone.
+    /// What the state service holds, in one go.
     pub fn load(&mut self, now: Mono, stored: Stored) {
-        for row in stored.live {
-            let id = row.path.strip_prefix(LIVE).and_then(JobId::parse);
-            match id {
-                Some(id) => self.on_live(&id, &row.value, Revision(row.revision)),
-                None => warn!("state: key {} is no job", row.path),
-            }
-        }
-        for row in stored.bits {
-            let parsed = done_sets::parse_key(&row.path);
-            match parsed.and_then(|(id, number)| Some((self.jobs.get_mut(&id)?, number))) {
-                Some((job, number)) => {
-                    if !self.p.layout.read(&mut job.durable, number, &row.value) {
-                        warn!("state: {} can't be read", row.path);
-                    }
-                    let done: Vec<usize> = job.durable.ones().collect();
-                    for i in done {
-                        job.set_done(i as u32);
-                    }
-                }
-                None => self.orphaned_sets.push(row.path),
-            }
-        }
-        for row in stored.fleet {
-            let id = row.path.strip_prefix(FLEET).and_then(MachineId::parse);
-            let record = serde_json::from_value::<FleetRecord>(row.value);
-            let (Some(id), Ok(r)) = (id, record) else {
-                warn!("state: {} can't be read", row.path);
-                continue;
-            };
-            let Some((kind, zone)) = self.place_of(&r.kind, &r.zone) else {
-                warn!("state: machine {id} is of unknown kind {} or zone {}", r.kind, r.zone);
-                continue;
-            };
-            let mut m = Machine::new(r.endpoint, kind, zone, r.spot, now);
-            m.commission = Commission::Yes;
-            // It may hold anything until it reports under this leader's token.
-            m.accounted = false;
-            self.unaccounted = true;
-            self.machines.insert(id, m);
-        }
+        self.load_part(now, stored);
+        self.finish_load(now);
+    }
+
+    /// Some of what the state service holds; done sets come after their jobs. A row that can't be read is
+    /// left alone.
+    pub fn load_part(&mut self, now: Mono, stored: Stored) {
+        self.work.add_jobs(stored.live.len() + stored.bits.len());
+        self.work.add_machines(stored.fleet.len());
+        stored.live.into_iter().for_each(|row| self.load_job(row));
+        stored.bits.into_iter().for_each(|row| self.load_done_set(row));
+        stored.fleet.into_iter().for_each(|row| self.load_machine(now, row));
         if let Some(kept) = stored.shares.and_then(|v| serde_json::from_value(v).ok()) {
             self.shares.restore(&kept, &self.team_names);
             self.shares_dirty = false;
         }
+    }
+
+    /// All that the state service holds has been loaded.
+    pub fn finish_load(&mut self, now: Mono) {
         // Until now reports were answered without the ledger, which renewed workers' leases.
         self.since = now;
         info!("ledger loaded: term={} jobs={} machines={}", self.term, self.jobs.len(), self.machines.len());
     }
 
+    fn load_job(&mut self, row: Row) {
+        match row.path.strip_prefix(LIVE).and_then(JobId::parse) {
+            Some(id) => self.on_live(&id, &row.value, Revision(row.revision)),
+            None => warn!("state: key {} is no job", row.path),
+        }
+    }
+
+    fn load_done_set(&mut self, row: Row) {
+        let parsed = done_sets::parse_key(&row.path);
+        let Some((job, number)) = parsed.and_then(|(id, number)| Some((self.jobs.get_mut(&id)?, number))) else {
+            self.orphaned_sets.push(row.path);
+            return;
+        };
+        if !self.p.layout.read(&mut job.durable, number, &row.value) {
+            warn!("state: {} can't be read", row.path);
+        }
+        let done: Vec<usize> = job.durable.ones().collect();
+        for i in done {
+            job.set_done(i as u32);
+        }
+    }
+
+    fn load_machine(&mut self, now: Mono, row: Row) {
+        let id = row.path.strip_prefix(FLEET).and_then(MachineId::parse);
+        let record = serde_json::from_value::<FleetRecord>(row.value);
+        let (Some(id), Ok(r)) = (id, record) else {
+            return warn!("state: {} can't be read", row.path);
+        };
+        let Some((kind, zone)) = self.place_of(&r.kind, &r.zone) else {
+            return warn!("state: machine {id} is of unknown kind {} or zone {}", r.kind, r.zone);
+        };
+        let mut m = Machine::new(r.endpoint, kind, zone, r.spot, now);
+        m.commission = Commission::Yes;
+        // It may hold anything until it reports under this leader's token.
+        m.accounted = false;
+        self.unaccounted.insert(m.market());
+        self.machines.insert(id, m);
+    }
+
     fn place_of(&self, kind: &str, zone: &str) -> Option<(usize, u32)> {
         let kind = self.types.iter().position(|t| t.name == kind)?;
         let zone = self.zones.iter().position(|z| z == zone)?;
--- a/src/core/leader/planner_view.rs
+++ b/src/core/leader/planner_view.rs
@@ -54,7 +54,7 @@
     wall: Wall,
     waiting: &'a BTreeSet<JobId>,
     guaranteed: &'a BTreeSet<JobId>,
-    machines: &'a [Option<MachineId>],
+    keys: &'a HashMap<&'a MachineId, u32>,
     /// Seconds that the fleet needs for all that waits.
     drain_s: f64,
 }
@@ -72,7 +72,7 @@
         self.work.add_jobs(self.jobs.len());
         self.work.add_machines(self.machines.len());
         self.usage = None;
-        self.unaccounted = self.unaccounted && self.machines.values().any(|m| !m.accounted);
+        self.note_unaccounted();
         let waits = |j: &Job| j.startable_tasks() > 0 && j.pause_until <= now && !j.finishing && !self.held_back(j);
         let waiting: BTreeSet<JobId> = self.jobs.iter().filter(|(_, j)| waits(j)).map(|(id, _)| *id).collect();
         self.lend(now, &waiting);
@@ -81,12 +81,14 @@
         let offers = self.offers(now);
         let guaranteed = self.guaranteed();
         let teams = self.teams_left();
+        let named = machines.ids.iter().enumerate().filter_map(|(key, id)| Some((id.as_ref()?, key as u32)));
+        let keys: HashMap<&MachineId, u32> = named.collect();
         let context = JobContext {
             now,
             wall,
             waiting: &waiting,
             guaranteed: &guaranteed,
-            machines: &machines.ids,
+            keys: &keys,
             drain_s: self.drain_s(machines.cpus_up),
         };
         let (job_views, jobs) = self.job_views(&context);
@@ -111,6 +113,14 @@
         PlannerView { input, jobs, machines: machines.ids }
     }
 
+    /// Notes where machines are left whose tasks aren't known.
+    fn note_unaccounted(&mut self) {
+        if !self.unaccounted.is_empty() {
+            let machines = self.machines.values().filter(|m| !m.accounted);
+            self.unaccounted = machines.map(Machine::market).collect();
+        }
+    }
+
     /// The least that any waiting task needs of a machine.
     fn least_need(&self, waiting: &BTreeSet<JobId>) -> Option<Amount> {
         let needs = waiting.iter().filter_map(|id| self.jobs.get(id)).map(|j| Amount::of_task(&j.spec));
@@ -262,8 +272,7 @@
         if gang && (job.gang.is_some() || !job.placed.is_empty()) {
             return None;
         }
-        self.work.add_reservations(self.reservations.len());
-        let reserved = self.reservations.of(id).count() as u32;
+        let reserved = self.reservations.count_of(id) as u32;
         let all = (job.ready.len() as u32).saturating_sub(reserved);
         if all == 0 || gang && reserved > 0 {
             return None;
@@ -383,8 +392,10 @@
     if job.error_machines.is_empty() {
         return Vec::new();
     }
-    let failed = |id: &Option<MachineId>| id.as_ref().is_some_and(|id| job.avoids(id, context.now));
-    context.machines.iter().enumerate().filter(|(_, id)| failed(id)).map(|(key, _)| key as u32).collect()
+    let failed = job.error_machines.keys().filter(|id| job.avoids(id, context.now));
+    let mut keys: Vec<u32> = failed.filter_map(|id| context.keys.get(id).copied()).collect();
+    keys.sort_unstable();
+    keys
 }
 
 /// The parts of a round's view that concern some of its jobs each. All parts see the machines that
--- a/src/core/leader/reservations/tests.rs
+++ b/src/core/leader/reservations/tests.rs
@@ -1,19 +1,40 @@
 use super::*;
 
+fn machine(n: u32) -> MachineId {
+    MachineId::parse(&format!("m-{n}")).unwrap()
+}
+
+fn job(n: u32) -> JobId {
+    JobId::parse(&format!("req-{n:06}")).unwrap()
+}
+
+const NEED: Amount = Amount { cpus: 1.0, gpus: 0.0, memory_gb: 0.0 };
+
 #[test]
 fn a_reservation_is_used_once_released_with_its_job_or_expires() {
-    let machine = |n: u32| MachineId::parse(&format!("m-{n}")).unwrap();
-    let job = |n: u32| JobId::parse(&format!("req-{n:06}")).unwrap();
-    let need = Amount { cpus: 1.0, ..Amount::default() };
     let mut reservations = Reservations::default();
     for (m, j) in [(1, 1), (1, 1), (2, 1), (1, 2)] {
-        reservations.add(Mono(0), machine(m), job(j), need);
+        reservations.add(Mono(0), machine(m), job(j), NEED);
     }
     assert_eq!((reservations.on(&machine(1)).count(), reservations.of(&job(1)).count()), (3, 3));
     reservations.use_one(&job(1), &machine(1));
     assert_eq!(reservations.of(&job(1)).count(), 2, "one task, one reservation");
+    assert_eq!(reservations.count_of(&job(1)), 2);
     reservations.release(&job(1));
-    assert_eq!(reservations.jobs(), BTreeSet::from([job(2)]));
+    assert_eq!(reservations.jobs_after(None, 10), [job(2)]);
     reservations.expire(Mono(0) + RESERVED_FOR);
     assert!(reservations.is_empty());
+    assert!(reservations.by_machine.is_empty() && reservations.by_job.is_empty(), "the indexes keep nothing");
+}
+
+#[test]
+fn all_jobs_with_reservations_get_their_turn() {
+    let mut reservations = Reservations::default();
+    for n in [1, 1, 1, 2, 3, 4] {
+        reservations.add(Mono(0), machine(n), job(n), NEED);
+    }
+    assert_eq!(reservations.jobs_after(None, 2), [job(1)], "a job with more than fit is looked at all the same");
+    assert_eq!(reservations.jobs_after(Some(job(1)), 2), [job(2), job(3)]);
+    assert_eq!(reservations.jobs_after(Some(job(3)), 2), [job(4), job(1)], "round again");
+    assert_eq!(reservations.jobs_after(Some(job(3)), 100).len(), 4, "each once");
 }
--- a/src/core/leader/room.rs
+++ b/src/core/leader/room.rs
@@ -1,6 +1,7 @@
-//! Room for urgent work: preemption, the room it makes, and moving replicas together.
+//! Room for urgent work: preemption and the room it makes.
 
 use super::planner_view::{PlannedJob, PlannerView, wall_age, zone_counts};
+use super::room_survey::{Candidates, RoomSearch, Urgency};
 use super::*;
 
 /// Where room for a task is wanted.
@@ -25,6 +26,26 @@
     loss: f64,
 }
 
+/// A job for which work may be stopped.
+struct Seeker {
+    id: JobId,
+    /// Priority and whether it is beyond its team's guarantee: the lowest is the most urgent.
+    urgency: (u32, bool),
+    /// The round in which room was last sought for it.
+    sought_in: u64,
+    tasks: u32,
+}
+
+/// Tasks of a job for which room is sought in one round.
+const MOST_ROOM_AT_ONCE: u32 = 64;
+/// Machines whose tasks one search passes over; a larger fleet has its turn part by part.
+const MOST_CANDIDATES: usize = 512;
+/// Reservations that there may be for each machine, and at the least: each is looked at when its turn comes.
+const RESERVATIONS_PER_MACHINE: usize = 2;
+const LEAST_RESERVATIONS: usize = 1_024;
+/// Reservations that one tick tries to use.
+const RESERVATIONS_PER_TICK: usize = 2_048;
+
 /// What a second of fetching an image counts as.
 const LOSS_OF_FETCH_SECOND: f64 = 20.0;
 /// What counts against plain replicas on a machine with GPUs, by whether GPU jobs need the room: more than
@@ -34,43 +55,76 @@
 
 impl Leader {
     /// Tasks that found no machine that is up: preemption, and the paper's second fall-back.
-    pub(super) fn heed_waiting(&mut self, now: Mono, view: &PlannerView, out: &PlanOutput) {
+    pub(super) fn heed_waiting(&mut self, now: Mono, view: &PlannerView, out: &PlanOutput, search: &mut RoomSearch) {
+        let mut seekers = Vec::new();
         for w in &out.waiting {
             let Some(PlannedJob { id, .. }) = view.jobs.get(w.job as usize) else { continue };
             let Some(view) = view.input.jobs.get(w.job as usize) else { continue };
-            if let Some(j) = self.jobs.get_mut(id) {
-                if w.on_spot {
-                    let since = *j.spot_wait_since.get_or_insert(now);
-                    let due = view.due_s.unwrap_or(2.0 * w.finish_s);
-                    let sub = miser::sub_deadline(due, view.run_s, true);
-                    let slip = (now - since).as_secs();
-                    if !j.no_new_spot && miser::spot_wait_is_over(sub, w.finish_s, slip, self.tuning.spot_window_s) {
-                        debug!("job {id} gives up its spot request");
-                        j.no_new_spot = true;
-                    }
-                } else {
-                    j.spot_wait_since = None;
-                }
-            }
-            if !(view.priority <= priority_number(Priority::High) || view.guaranteed) {
-                continue;
-            }
-            // Work is only stopped for a job that would start too late otherwise.
-            let aim = self.jobs.get(id).and_then(|j| self.settings.start_aim(&j.spec.class, view.guaranteed));
-            if aim.is_some_and(|aim| w.ready_s > 0.0 && view.age_s + w.ready_s <= aim) {
-                continue;
-            }
-            if view.gang {
-                // All of it or nothing: work is stopped only where that is enough.
-                self.gather_for(now, id, Insufficient::Leave);
-                continue;
-            }
-            for _ in 0..w.count.min(64) {
-                if !self.make_room(now, id, Wanted::Anywhere) {
-                    break;
-                }
+            self.review_spot_wait(now, id, view, w);
+            if self.seeks_room(id, view, w) {
+                let sought_in = self.jobs.get(id).map_or(0, |j| j.room_sought_in);
+                seekers.push(Seeker {
+                    id: *id,
+                    urgency: (view.priority, !view.guaranteed),
+                    sought_in,
+                    tasks: w.count.min(MOST_ROOM_AT_ONCE),
+                });
             }
         }
+        self.work.add_jobs(out.waiting.len());
+        // The most urgent first, and of those whoever has waited longest for a search: what the budget
+        // doesn't reach goes on in the next round.
+        seekers.sort_by_key(|s| (s.urgency, s.sought_in));
+        let mut seekers: VecDeque<Seeker> = seekers.into();
+        while !search.budget.is_mostly_spent()
+            && let Some(seeker) = seekers.pop_front()
+        {
+            self.seek_room(now, &seeker, search);
+        }
+        // The rest of the budget goes round among all: urgent work that finds nothing starves nobody.
+        seekers.make_contiguous().sort_by_key(|s| s.sought_in);
+        while !search.budget.is_spent()
+            && let Some(seeker) = seekers.pop_front()
+        {
+            self.seek_room(now, &seeker, search);
+        }
+    }
+
+    /// The paper's second fall-back: gives up on spot machines that don't come.
+    fn review_spot_wait(&mut self, now: Mono, id: &JobId, view: &JobView, w: &Waiting) {
+        let window_s = self.tuning.spot_window_s;
+        let Some(j) = self.jobs.get_mut(id) else { return };
+        if !w.on_spot {
+            j.spot_wait_since = None;
+            return;
+        }
+        let since = *j.spot_wait_since.get_or_insert(now);
+        let due = view.due_s.unwrap_or(2.0 * w.finish_s);
+        let sub = miser::sub_deadline(due, view.run_s, true);
+        let slip = (now - since).as_secs();
+        if !j.no_new_spot && miser::spot_wait_is_over(sub, w.finish_s, slip, window_s) {
+            debug!("job {id} gives up its spot request");
+            j.no_new_spot = true;
+        }
+    }
+
+    /// Whether other work may be stopped for a waiting job.
+    fn seeks_room(&self, id: &JobId, view: &JobView, w: &Waiting) -> bool {
+        let urgent = view.priority <= priority_number(Priority::High) || view.guaranteed;
+        // Work is only stopped for a job that would start too late otherwise.
+        let aim = self.jobs.get(id).and_then(|j| self.settings.start_aim(&j.spec.class, view.guaranteed));
+        urgent && !aim.is_some_and(|aim| w.ready_s > 0.0 && view.age_s + w.ready_s <= aim)
+    }
+
+    fn seek_room(&mut self, now: Mono, seeker: &Seeker, search: &mut RoomSearch) {
+        let Some(j) = self.jobs.get_mut(&seeker.id) else { return };
+        j.room_sought_in = self.rounds;
+        if j.spec.kind == Kind::Gang {
+            // All of it or nothing: work is stopped only where that is enough.
+            self.gather_for(now, search, &seeker.id, Insufficient::Leave);
+        } else {
+            self.make_room(now, search, &seeker.id, Wanted::Anywhere, seeker.tasks);
+        }
     }
 
     /// What urgent work without GPUs may still take of a GPU machine.
@@ -127,71 +181,14 @@
         part.cpus + 1e-6 >= s.cpus && part.memory_gb + 1e-6 >= s.memory_gb
     }
 
-    /// Moves replicas off machines that do nothing else, onto machines that are busy anyway, so
-    /// that the former can go back. One at a time, and only while nothing waits.
-    pub(super) fn consolidate(&mut self, now: Mono) {
-        if now < self.move_at || self.jobs.values().any(|j| j.startable_tasks() > 0) || !self.reservations.is_empty() {
-            return;
-        }
-        self.move_at = now + Span(1_000);
-        let quiet = self.quiet();
-        let share = |m: &Machine| {
-            let t = &self.types[m.kind];
-            let u = m.used();
-            (u.cpus / t.cpus.max(0.1)).max(u.memory_gb / t.memory_gb.max(0.1))
-        };
-        self.work.add_machines(self.machines.len());
-        let is_service = |k: &SlotKey| self.jobs.get(&k.0.job).is_some_and(|j| j.spec.kind == Kind::Service);
-        let waste = |m: &Machine| self.types[m.kind].price * (1.0 - share(m));
-        let mut sources: Vec<(&MachineId, &Machine)> = self
-            .machines
-            .iter()
-            .filter(|(_, m)| m.usable(now, quiet) && m.in_flight.is_none() && m.busy())
-            .filter(|(_, m)| m.slots.iter().all(|(k, s)| !s.exited() && s.stop.is_none() && is_service(k)))
-            .filter(|(_, m)| share(m) < 0.5)
-            .collect();
-        sources.sort_by(|a, b| waste(b.1).total_cmp(&waste(a.1)).then(a.0.cmp(b.0)));
-        let mut found = None;
-        'search: for (from, source) in sources {
-            for (key, slot) in &source.slots {
-                let Some(job) = self.jobs.get(&key.0.job) else { continue };
-                let mut zones = zone_counts(job, &self.machines);
-                zones.iter_mut().filter(|z| z.zone == source.zone).for_each(|z| z.count -= 1);
-                let spec = &job.spec;
-                let fits = |id: &MachineId, m: &Machine| {
-                    let t = &self.types[m.kind];
-                    id != from
-                        && m.usable(now, quiet)
-                        && m.busy()
-                        && t.gpus <= 0.0
-                        && (share(m) > share(source) || self.types[source.kind].gpus > 0.0)
-                        && m.image_ready(slot.image, now) == Some(0.0)
-                        && m.free(t).holds(&slot.need)
-                        && self.permits(spec, m)
-                        && miser::zone_allowed(spec.spread, spec.one_zone, spec.tasks, &zones, m.zone)
-                };
-                self.work.add_machines(self.machines.len());
-                let to =
-                    self.machines.iter().filter(|(id, m)| fits(id, m)).max_by(|a, b| share(a.1).total_cmp(&share(b.1)));
-                if let Some((to, _)) = to {
-                    found = Some((from.clone(), *key, to.clone(), slot.need));
-                    break 'search;
-                }
-            }
-        }
-        let Some((from, key, to, need)) = found else { return };
-        info!("moving {} from {from} to {to}", key.0);
-        let job = key.0.job;
-        self.stop_task(&from, &key);
-        self.reservations.add(now, to, job, need);
-    }
-
     /// Starts what room was kept for, once it is there.
     pub(super) fn use_reservations(&mut self, now: Mono) {
         self.reservations.expire(now);
         let mut done: BTreeSet<JobId> = BTreeSet::new();
-        for job in self.reservations.jobs() {
-            self.work.add_reservations(self.reservations.len());
+        let jobs = self.reservations.jobs_after(self.reservations_tried_to, RESERVATIONS_PER_TICK);
+        self.reservations_tried_to = jobs.last().copied();
+        for job in jobs {
+            self.work.add_reservations(self.reservations.count_of(&job));
             let Some(j) = self.jobs.get(&job) else {
                 done.insert(job);
                 continue;
@@ -227,37 +224,101 @@
         done.iter().for_each(|job| self.reservations.release(job));
     }
 
-    /// Stops work of lower priority where that makes room for one task. False: nowhere.
-    pub(super) fn make_room(&mut self, now: Mono, id: &JobId, wanted: Wanted) -> bool {
-        let Some(j) = self.jobs.get(id) else { return false };
-        let spec = &j.spec;
-        let need = Amount::of_task(spec);
-        // What is placed, and what room is being made for.
-        let mut placed = zone_counts(j, &self.machines);
-        let coming = self.reservations.of(id).filter_map(|r| self.machines.get(&r.machine));
-        placed.extend(coming.map(|m| ZoneCount { zone: m.zone, count: 1 }));
-        self.work.add_machines(self.machines.len());
-        let mut best: Option<(Eviction, MachineId)> = None;
-        for (mid, m) in &self.machines {
-            if !self.suits(now, j, mid, m)
-                || !miser::zone_allowed(spec.spread, spec.one_zone, spec.tasks, &placed, m.zone)
-            {
+    /// Stops work of lower priority where that makes room for tasks of a job. Returns for how many.
+    pub(super) fn make_room(
+        &mut self,
+        now: Mono,
+        search: &mut RoomSearch,
+        id: &JobId,
+        wanted: Wanted,
+        tasks: u32,
+    ) -> u32 {
+        let before = self.work.read();
+        let mut candidates = self.candidates_for(now, search, id, wanted);
+        let mut made = 0;
+        while made < tasks && !self.has_most_reservations() {
+            let Some(at) = candidates.pop() else { break };
+            let machine = search.survey(self, now).machines[at].id.clone();
+            let Some(eviction) = self.eviction_for(now, id, &machine, wanted) else { continue };
+            if candidates.has_better_than(eviction.loss) {
+                // Something else has been stopped or reserved there since.
+                candidates.push(eviction.loss, at);
                 continue;
             }
-            let Some(eviction) = self.eviction(now, (id, j), (mid, m), wanted) else { continue };
-            if best.as_ref().is_none_or(|(best, _)| eviction.loss < best.loss) {
-                best = Some((eviction, mid.clone()));
+            self.evict(now, id, &machine, eviction.victims);
+            made += 1;
+            search.refresh(self, now, &machine);
+            if let Some(next) = self.eviction_for(now, id, &machine, wanted) {
+                candidates.push(next.loss, at);
             }
         }
-        let Some((Eviction { victims, .. }, mid)) = best else { return false };
+        search.budget.spend(self.work.read().since(&before).total());
+        made
+    }
+
+    fn has_most_reservations(&self) -> bool {
+        self.reservations.len() >= LEAST_RESERVATIONS + RESERVATIONS_PER_MACHINE * self.machines.len()
+    }
+
+    /// The machines where stopping work makes room for a task of a job: all of them in small fleets, in large
+    /// ones others in each round.
+    fn candidates_for(&self, now: Mono, search: &mut RoomSearch, id: &JobId, wanted: Wanted) -> Candidates {
+        let mut candidates = Candidates::default();
+        let Some(j) = self.jobs.get(id).filter(|_| !search.budget.is_spent()) else { return candidates };
+        let (need, urgency) = (Amount::of_task(&j.spec), self.urgency(id, j));
+        let permitted = self.permitted_markets(&j.spec);
+        self.work.add_jobs(1);
+        let survey = search.survey(self, now);
+        let promising = survey.promising(&permitted, urgency, &need);
+        if promising.is_empty() {
+            return candidates;
+        }
+        self.work.add_machines(survey.machines.len());
+        let suited = |at: &usize| {
+            let machine = &survey.machines[*at];
+            machine.yields_to(urgency).holds(&need) && promising.contains(&machine.market)
+        };
+        let count = survey.machines.len();
+        let first = (self.rounds as usize).wrapping_mul(MOST_CANDIDATES) % count.max(1);
+        for at in (first..count).chain(0..first).filter(suited).take(MOST_CANDIDATES) {
+            let machine = &survey.machines[at];
+            if let Some(eviction) = self.eviction_for(now, id, &machine.id, wanted) {
+                candidates.push(eviction.loss, at);
+            }
+        }
+        candidates
+    }
+
+    /// What has to be stopped on a machine for one more task of a job; none: the job can't have room there.
+    fn eviction_for(&self, now: Mono, id: &JobId, machine: &MachineId, wanted: Wanted) -> Option<Eviction> {
+        let (j, m) = (self.jobs.get(id)?, self.machines.get(machine)?);
+        let spec = &j.spec;
+        if !self.suits(now, j, machine, m) {
+            return None;
+        }
+        if spec.spread || spec.one_zone {
+            // What is placed, and what room is being made for.
+            let mut placed = zone_counts(j, &self.machines);
+            let coming = self.reservations.of(id).filter_map(|r| self.machines.get(&r.machine));
+            placed.extend(coming.map(|m| ZoneCount { zone: m.zone, count: 1 }));
+            self.work.add_tasks(placed.len());
+            if !miser::zone_allowed(spec.spread, spec.one_zone, spec.tasks, &placed, m.zone) {
+                return None;
+            }
+        }
+        self.eviction(now, (id, j), (machine, m), wanted)
+    }
+
+    /// Stops tasks on a machine and keeps the room for a task of a job.
+    fn evict(&mut self, now: Mono, id: &JobId, machine: &MachineId, victims: Vec<SlotKey>) {
+        let Some(need) = self.jobs.get(id).map(|j| Amount::of_task(&j.spec)) else { return };
         if !victims.is_empty() {
-            debug!("making room for {id} on {mid}: tasks={}", victims.len());
+            debug!("making room for {id} on {machine}: tasks={}", victims.len());
         }
         for victim in victims {
-            self.stop_task(&mid, &victim);
+            self.stop_task(machine, &victim);
         }
-        self.reservations.add(now, mid, *id, need);
-        true
+        self.reservations.add(now, machine.clone(), *id, need);
     }
 
     /// What has to be stopped on a machine to make room for a task of a job; none: that is not to be had.
@@ -284,7 +345,6 @@
         }
         let mut free = m.free(t);
         self.work.add_tasks(m.slots.len());
-        self.work.add_reservations(self.reservations.len());
         self.reservations.on(mid).for_each(|r| free.sub(&r.need));
         // What is already told to stop will be free soon.
         for s in m.slots.values().filter(|s| !s.exited() && s.stop.is_some()) {
@@ -373,77 +433,105 @@
         let mut waiting: Vec<_> =
             self.jobs.iter().filter(|(_, j)| waits(j) && large(j)).map(|(id, j)| (size(j), *id)).collect();
         waiting.sort();
+        let mut search = RoomSearch::new(self.machines.len());
         for (_, id) in waiting {
-            if self.gather_for(now, &id, Insufficient::Hold) {
+            if search.budget.is_spent() || self.gather_for(now, &mut search, &id, Insufficient::Hold) {
                 break;
             }
         }
     }
 
     /// Finds room for a gang. False: nowhere, or its team has no quota left.
-    fn gather_for(&mut self, now: Mono, id: &JobId, insufficient: Insufficient) -> bool {
+    fn gather_for(&mut self, now: Mono, search: &mut RoomSearch, id: &JobId, insufficient: Insufficient) -> bool {
         let Some(j) = self.jobs.get(id) else { return false };
-        let (tasks, need) = (j.spec.tasks, Amount::of_task(&j.spec));
-        if !self.quota_holds(j.team, &need, f64::from(tasks)) {
+        let (team, tasks, need) = (j.team, j.spec.tasks, Amount::of_task(&j.spec));
+        if !self.quota_holds(team, &need, f64::from(tasks)) {
             return false;
         }
-        let Some(j) = self.jobs.get(id) else { return false };
-        let held_in = self.reservations.of(id).next().and_then(|r| self.machines.get(&r.machine));
-        let held_in = held_in.map(|m| m.zone);
-        // By zone: what is free for it now, what could be made so, and what its machines could
-        // hold at the most. A gang that may be anywhere counts all zones as one.
-        #[derive(Default)]
-        struct Zone {
-            free: Vec<(MachineId, u32)>,
-            soon: u32,
-            most: u32,
+        let before = self.work.read();
+        let held_in = self.reservations.of(id).next().and_then(|r| self.machines.get(&r.machine)).map(|m| m.zone);
+        let best = self
+            .gang_room(now, search, id)
+            .into_iter()
+            .filter(|(_, room)| room.most >= tasks)
+            .max_by_key(|(zone, room)| (held_in == Some(*zone), room.soon.min(tasks), room.free_tasks()));
+        search.budget.spend(self.work.read().since(&before).total());
+        let Some((_, room)) = best.filter(|(_, room)| insufficient == Insufficient::Hold || room.soon >= tasks) else {
+            return false;
+        };
+        let mut left = tasks - self.hold_free_room(now, search, id, &room);
+        if left > 0 && room.soon >= tasks {
+            debug!("room gathered for {id}: tasks={tasks} free={}", tasks - left);
+            left -= self.make_room(now, search, id, Wanted::Anywhere, left);
         }
-        self.work.add_machines(self.machines.len());
-        let priority = priority_number(j.priority());
-        let mut zones: BTreeMap<u32, Zone> = BTreeMap::new();
-        for (mid, m) in self.machines.iter().filter(|(mid, m)| self.suits(now, j, mid, m)) {
-            let t = &self.types[m.kind];
-            let mut free = m.free(t);
-            self.work.add_tasks(m.slots.len());
-            self.work.add_reservations(self.reservations.len());
-            self.reservations.on(mid).filter(|r| r.job != *id).for_each(|r| free.sub(&r.need));
-            let mut soon = free;
-            for s in m.slots.values().filter(|s| !s.exited()) {
-                if s.stop.is_some() || priority_number(s.priority) > priority {
-                    soon.add(&s.need);
-                }
+        self.work.add_tasks((tasks - left) as usize);
+        true
+    }
+
+    /// The room that a gang could have in each zone; one that may be anywhere counts all zones as one.
+    fn gang_room(&self, now: Mono, search: &mut RoomSearch, id: &JobId) -> BTreeMap<u32, GangRoom> {
+        let mut zones: BTreeMap<u32, GangRoom> = BTreeMap::new();
+        let Some(j) = self.jobs.get(id) else { return zones };
+        let need = Amount::of_task(&j.spec);
+        let urgency = Urgency { guaranteed: false, ..self.urgency(id, j) };
+        let permitted = self.permitted_markets(&j.spec);
+        let mut held: BTreeMap<&MachineId, Amount> = BTreeMap::new();
+        for reservation in self.reservations.of(id) {
+            held.entry(&reservation.machine).or_default().add(&reservation.need);
+        }
+        let survey = search.survey(self, now);
+        self.work.add_machines(survey.machines.len());
+        for machine in survey.machines.iter().filter(|m| permitted.contains(&m.market) && !j.avoids(&m.id, now)) {
+            let (mut free, mut soon) = (machine.free, machine.yields_to(urgency));
+            if let Some(held) = held.get(&machine.id) {
+                free.add(held);
+                soon.add(held);
             }
-            let z = zones.entry(if j.spec.one_zone { m.zone } else { u32::MAX }).or_default();
-            let fit = |a: &Amount| times_in(a, &need);
-            if fit(&free) > 0 {
-                z.free.push((mid.clone(), fit(&free)));
+            let zone = if j.spec.one_zone { machine.market.zone } else { u32::MAX };
+            let room = zones.entry(zone).or_default();
+            let free = times_in(&free, &need);
+            if free > 0 {
+                room.free.push((machine.id.clone(), free));
             }
-            z.soon += fit(&soon);
-            z.most += fit(&Amount::of_type(t));
+            room.soon += times_in(&soon, &need);
+            room.most += times_in(&Amount::of_type(&self.types[machine.market.kind]), &need);
         }
-        let free = |z: &Zone| z.free.iter().map(|(_, n)| n).sum::<u32>();
-        let best = zones
-            .into_iter()
-            .filter(|(_, z)| z.most >= tasks)
-            .max_by_key(|(zone, z)| (held_in == Some(*zone), z.soon.min(tasks), free(z)));
-        let Some((_, z)) = best.filter(|(_, z)| insufficient == Insufficient::Hold || z.soon >= tasks) else {
-            return false;
-        };
+        zones
+    }
+
+    /// Reserves free room for a gang in place of what was held for it. Returns for how many tasks.
+    fn hold_free_room(&mut self, now: Mono, search: &mut RoomSearch, id: &JobId, room: &GangRoom) -> u32 {
+        let Some(j) = self.jobs.get(id) else { return 0 };
+        let (tasks, need) = (j.spec.tasks, Amount::of_task(&j.spec));
+        let mut changed: BTreeSet<MachineId> = self.reservations.of(id).map(|r| r.machine.clone()).collect();
         self.reservations.release(id);
-        let mut left = tasks;
-        for (machine, n) in z.free {
-            for _ in 0..n.min(left) {
+        let mut held = 0;
+        for (machine, count) in &room.free {
+            for _ in 0..(*count).min(tasks - held) {
                 self.reservations.add(now, machine.clone(), *id, need);
-                left -= 1;
+                changed.insert(machine.clone());
+                held += 1;
             }
         }
-        if left > 0 && z.soon >= tasks {
-            debug!("room gathered for {id}: tasks={tasks} free={}", tasks - left);
-            while left > 0 && self.make_room(now, id, Wanted::Anywhere) {
-                left -= 1;
-            }
-        }
-        true
+        changed.iter().for_each(|machine| search.refresh(self, now, machine));
+        held
+    }
+}
+
+/// Room for a gang on machines of one zone, in tasks of the gang.
+#[derive(Default)]
+struct GangRoom {
+    /// What is free for it now.
+    free: Vec<(MachineId, u32)>,
+    /// What is free, or would be if work of lower priority were stopped.
+    soon: u32,
+    /// What the machines could hold at the most.
+    most: u32,
+}
+
+impl GangRoom {
+    fn free_tasks(&self) -> u32 {
+        self.free.iter().map(|(_, tasks)| tasks).sum()
     }
 }
 
--- /dev/null
+++ b/src/core/leader/room_survey.rs
@@ -0,0 +1,227 @@
+//! What the machines could yield to urgent work, gathered once for many jobs. A look at a machine for a
+//! job is then a few comparisons; its tasks are passed over only where the answer may be yes.
+
+use super::*;
+use crate::core::rentals::Market;
+use std::cmp::{Ordering, Reverse};
+use std::collections::BinaryHeap;
+
+/// How many priorities there are; [`priority_number`] is below it.
+const PRIORITIES: usize = 4;
+/// Looks that one round may spend on finding room for waiting work, for each machine and at the least.
+const SEARCH_LOOKS_PER_MACHINE: u64 = 64;
+const LEAST_SEARCH_LOOKS: u64 = 32_768;
+
+/// How urgent work is that seeks room.
+#[derive(Clone, Copy)]
+pub(super) struct Urgency {
+    pub priority: usize,
+    /// Within its team's guarantee: then work of the same priority beyond a guarantee gives way too.
+    pub guaranteed: bool,
+}
+
+/// A machine that may get tasks now.
+pub(super) struct SurveyedMachine {
+    pub id: MachineId,
+    pub market: Market,
+    /// Neither used nor reserved.
+    pub free: Amount,
+    /// By priority, what would be free without the tasks of lower priority and those that stop already.
+    yields: [Amount; PRIORITIES],
+    /// By priority, what its tasks beyond any guarantee use.
+    beyond: [Amount; PRIORITIES],
+}
+
+impl SurveyedMachine {
+    /// The most that could become free for such work.
+    pub fn yields_to(&self, urgency: Urgency) -> Amount {
+        let mut room = self.yields[urgency.priority];
+        if urgency.guaranteed {
+            room.add(&self.beyond[urgency.priority]);
+        }
+        room
+    }
+}
+
+/// By priority, more than any machine of a market yields.
+#[derive(Default)]
+struct MarketYields {
+    to_any: [Amount; PRIORITIES],
+    to_guaranteed: [Amount; PRIORITIES],
+}
+
+impl MarketYields {
+    fn include(&mut self, machine: &SurveyedMachine) {
+        for priority in 0..PRIORITIES {
+            let yields = |guaranteed| machine.yields_to(Urgency { priority, guaranteed });
+            self.to_any[priority].raise_to(&yields(false));
+            self.to_guaranteed[priority].raise_to(&yields(true));
+        }
+    }
+
+    fn may_yield(&self, urgency: Urgency, need: &Amount) -> bool {
+        let yields = if urgency.guaranteed { &self.to_guaranteed } else { &self.to_any };
+        yields[urgency.priority].holds(need)
+    }
+}
+
+/// The machines that may get tasks, in the order of their names.
+pub(super) struct RoomSurvey {
+    pub machines: Vec<SurveyedMachine>,
+    markets: BTreeMap<Market, MarketYields>,
+}
+
+impl RoomSurvey {
+    fn new(machines: Vec<SurveyedMachine>) -> RoomSurvey {
+        let mut markets: BTreeMap<Market, MarketYields> = BTreeMap::new();
+        for machine in &machines {
+            markets.entry(machine.market).or_default().include(machine);
+        }
+        RoomSurvey { machines, markets }
+    }
+
+    /// Those of the markets in which some machine may have had room for such work when it was surveyed.
+    pub fn promising(&self, permitted: &BTreeSet<Market>, urgency: Urgency, need: &Amount) -> BTreeSet<Market> {
+        let may_yield = |market: &&Market| self.markets.get(market).is_some_and(|m| m.may_yield(urgency, need));
+        permitted.iter().filter(may_yield).copied().collect()
+    }
+
+    fn position(&self, id: &MachineId) -> Option<usize> {
+        self.machines.binary_search_by(|machine| machine.id.cmp(id)).ok()
+    }
+}
+
+/// What finding room may still cost in a round.
+pub(super) struct SearchBudget {
+    all: u64,
+    left: u64,
+}
+
+impl SearchBudget {
+    fn new(machines: usize) -> SearchBudget {
+        let all = LEAST_SEARCH_LOOKS + SEARCH_LOOKS_PER_MACHINE * machines as u64;
+        SearchBudget { all, left: all }
+    }
+
+    pub fn spend(&mut self, looks: u64) {
+        self.left = self.left.saturating_sub(looks);
+    }
+
+    pub fn is_spent(&self) -> bool {
+        self.left == 0
+    }
+
+    /// So much is spent that the rest is for those who have waited longest for a search.
+    pub fn is_mostly_spent(&self) -> bool {
+        self.left < self.all / 4
+    }
+}
+
+/// The search for room in one round: its survey, made when it is first needed, and its budget.
+pub(super) struct RoomSearch {
+    survey: Option<RoomSurvey>,
+    pub budget: SearchBudget,
+}
+
+impl RoomSearch {
+    pub fn new(machines: usize) -> RoomSearch {
+        RoomSearch { survey: None, budget: SearchBudget::new(machines) }
+    }
+
+    /// Tasks have been placed since: the machines have to be looked at anew.
+    pub fn forget_survey(&mut self) {
+        self.survey = None;
+    }
+
+    pub fn survey(&mut self, leader: &Leader, now: Mono) -> &RoomSurvey {
+        self.survey.get_or_insert_with(|| leader.survey_room(now))
+    }
+
+    /// Looks at a machine again, whose tasks or reservations have changed.
+    pub fn refresh(&mut self, leader: &Leader, now: Mono, id: &MachineId) {
+        let Some(survey) = &mut self.survey else { return };
+        let Some(at) = survey.position(id) else { return };
+        if let Some(machine) = leader.machines.get(id).and_then(|m| leader.survey_machine(now, id, m)) {
+            survey.machines[at] = machine;
+        }
+    }
+}
+
+/// A machine that could make room, by what would be lost: the least first, then the first by name.
+#[derive(Clone, Copy, PartialEq)]
+struct Candidate {
+    loss: f64,
+    /// Its position in the survey.
+    at: usize,
+}
+
+impl Eq for Candidate {}
+
+impl PartialOrd for Candidate {
+    fn partial_cmp(&self, other: &Candidate) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Candidate {
+    fn cmp(&self, other: &Candidate) -> Ordering {
+        self.loss.total_cmp(&other.loss).then(self.at.cmp(&other.at))
+    }
+}
+
+/// Candidates, the one to be taken first on top.
+#[derive(Default)]
+pub(super) struct Candidates(BinaryHeap<Reverse<Candidate>>);
+
+impl Candidates {
+    pub fn push(&mut self, loss: f64, at: usize) {
+        self.0.push(Reverse(Candidate { loss, at }));
+    }
+
+    /// The position of the machine where the least would be lost.
+    pub fn pop(&mut self) -> Option<usize> {
+        self.0.pop().map(|Reverse(candidate)| candidate.at)
+    }
+
+    /// Whether another machine would lose less than this.
+    pub fn has_better_than(&self, loss: f64) -> bool {
+        self.0.peek().is_some_and(|Reverse(candidate)| candidate.loss < loss)
+    }
+}
+
+impl Leader {
+    /// All machines that may get tasks now, and what each could yield.
+    fn survey_room(&self, now: Mono) -> RoomSurvey {
+        self.work.add_machines(self.machines.len());
+        let surveyed = self.machines.iter().filter_map(|(id, m)| self.survey_machine(now, id, m));
+        RoomSurvey::new(surveyed.collect())
+    }
+
+    fn survey_machine(&self, now: Mono, id: &MachineId, m: &Machine) -> Option<SurveyedMachine> {
+        if !m.usable(now, self.quiet()) {
+            return None;
+        }
+        self.work.add_tasks(m.slots.len());
+        let mut free = m.free(&self.types[m.kind]);
+        for reservation in self.reservations.on(id) {
+            free.sub(&reservation.need);
+        }
+        let mut yields = [free; PRIORITIES];
+        let mut beyond = [Amount::default(); PRIORITIES];
+        for (key, slot) in m.slots.iter().filter(|(_, slot)| !slot.exited()) {
+            let priority = priority_number(slot.priority) as usize;
+            // What is already told to stop will be free soon, for anyone.
+            let first_served = if slot.stop.is_some() { PRIORITIES } else { priority };
+            yields[..first_served].iter_mut().for_each(|room| room.add(&slot.need));
+            if slot.stop.is_none() && !self.within_guarantee.contains(&key.0.job) {
+                beyond[priority].add(&slot.need);
+            }
+        }
+        Some(SurveyedMachine { id: id.clone(), market: m.market(), free, yields, beyond })
+    }
+
+    /// How urgent a job's work is that seeks room.
+    pub(super) fn urgency(&self, id: &JobId, j: &Job) -> Urgency {
+        Urgency { priority: priority_number(j.priority()) as usize, guaranteed: self.within_guarantee.contains(id) }
+    }
+}
--- a/src/core/leader/rounds.rs
+++ b/src/core/leader/rounds.rs
@@ -2,6 +2,7 @@
 
 use super::planner_view::{PlannedJob, PlannerView, deal, zone_counts};
 use super::room::Wanted;
+use super::room_survey::RoomSearch;
 use super::*;
 
 impl Leader {
@@ -58,11 +59,16 @@
             return;
         }
         let Some(mut round) = self.open_round.take() else { return };
-        for (node, part) in std::mem::take(&mut round.missing) {
+        // One part for each input: planning for all peers at once would hold up everything else.
+        if let Some((node, part)) = round.missing.pop_first() {
             debug!("{node} is silent, its share is planned here");
             self.shares.silent(&node);
             round.outputs.push(miser::plan_metered(&part, &self.work));
         }
+        if !round.missing.is_empty() {
+            self.open_round = Some(round);
+            return;
+        }
         let mut out = PlanOutput::default();
         for o in round.outputs {
             out.placements.extend(o.placements);
@@ -79,6 +85,19 @@
         self.carry_out(now, &round.view, &out);
     }
 
+    pub fn has_open_round(&self) -> bool {
+        self.open_round.is_some()
+    }
+
+    /// The leader may not act for now: the open round is given up, so that what it was planned on is not
+    /// acted on later.
+    pub fn abandon_round(&mut self) {
+        if let Some(round) = self.open_round.take() {
+            info!("round {} is abandoned: term={}", round.view.input.round, self.term);
+            self.dirty = true;
+        }
+    }
+
     pub fn peer_answered(&mut self, now: Mono, node: &str) {
         self.shares.heard(node, now);
     }
@@ -92,6 +111,7 @@
 
     /// Checks a plan against the ledger and commits what still holds.
     pub(super) fn carry_out(&mut self, now: Mono, view: &PlannerView, out: &PlanOutput) {
+        let mut search = RoomSearch::new(self.machines.len());
         let mut gangs: BTreeMap<u32, Vec<(MachineId, u32)>> = BTreeMap::new();
         for p in &out.placements {
             // Keys beyond the view are a peer's mistake, and dropped.
@@ -106,11 +126,9 @@
                 gangs.entry(p.job).or_default().push((machine.clone(), p.count));
                 continue;
             }
-            let mut count = p.count as usize;
+            let mut count = p.count;
             if self.starts_late(now, job, machine, view.input.jobs.get(p.job as usize)) {
-                while count > 0 && self.make_room(now, job, Wanted::WhereImageIs) {
-                    count -= 1;
-                }
+                count -= self.make_room(now, &mut search, job, Wanted::WhereImageIs, count);
             }
             let Some(j) = self.jobs.get(job) else { continue };
             let from = if *reclaimed { &j.reclaimed } else { &j.ready };
@@ -118,7 +136,7 @@
                 .iter()
                 .filter(|i| *reclaimed || !j.reclaimed.contains(i))
                 .filter(|i| j.ready.contains(i))
-                .take(count)
+                .take(count as usize)
                 .copied()
                 .collect();
             for index in picked {
@@ -138,7 +156,8 @@
             }
         }
         self.rent(now, &out.wishes);
-        self.heed_waiting(now, view, out);
+        search.forget_survey();
+        self.heed_waiting(now, view, out, &mut search);
         self.flush_orders();
     }
 
@@ -163,25 +182,33 @@
     /// A job from before this leader may have tasks on machines that aren't accounted for: nothing
     /// of it starts, whoever has planned it, until all those that could hold its tasks are.
     pub(super) fn held_back(&self, j: &Job) -> bool {
-        if !self.unaccounted || j.revision.0 > self.term.0 {
-            return false;
-        }
-        self.work.add_machines(self.machines.len());
-        let could_hold = |m: &Machine| !m.accounted && self.permits(&j.spec, m);
-        self.machines.values().any(could_hold)
+        let from_before = j.revision.0 <= self.term.0;
+        from_before && self.unaccounted.iter().any(|market| self.permits_market(&j.spec, *market))
     }
 
     /// Whether a job permits a machine's type, zone and kind, whatever is on it.
     pub(super) fn permits(&self, s: &JobSpec, m: &Machine) -> bool {
-        submissions::type_allows(s, &self.types[m.kind])
-            && s.zone.as_ref().is_none_or(|zone| *zone == self.zones[m.zone as usize])
-            && (s.spot || !m.spot)
+        self.permits_market(s, m.market())
+    }
+
+    fn permits_market(&self, s: &JobSpec, market: Market) -> bool {
+        submissions::type_allows(s, &self.types[market.kind])
+            && s.zone.as_ref().is_none_or(|zone| *zone == self.zones[market.zone as usize])
+            && (s.spot || !market.spot)
+    }
+
+    /// The markets whose machines a job permits.
+    pub(super) fn permitted_markets(&self, s: &JobSpec) -> BTreeSet<Market> {
+        let kinds = 0..self.types.len();
+        let zones = 0..self.zones.len() as u32;
+        let markets = kinds
+            .flat_map(|kind| zones.clone().flat_map(move |zone| [false, true].map(|spot| Market { kind, zone, spot })));
+        markets.filter(|market| self.permits_market(s, *market)).collect()
     }
 
     /// The leader's own check of one start, whoever planned it.
     pub(super) fn may_place(&mut self, now: Mono, job: &JobId, machine: &MachineId, n: f64) -> bool {
         let mut kept = Amount::default();
-        self.work.add_reservations(self.reservations.len());
         self.reservations.on(machine).filter(|r| r.job != *job).for_each(|r| kept.add(&r.need));
         let (Some(j), Some(m)) = (self.jobs.get(job), self.machines.get(machine)) else { return false };
         let t = &self.types[m.kind];
--- a/src/core/leader/tests/bounded_work.rs
+++ b/src/core/leader/tests/bounded_work.rs
@@ -49,3 +49,96 @@
     let (work, bound) = (rig.longest_tick.total(), work_bound(machines, jobs as usize, 8 * machines));
     assert!(work <= bound, "one tick took {work} looks, bound {bound}");
 }
+
+/// Twice the machines and the work may cost at most this many times as much: in proportion, with some room.
+const MOST_GROWTH: f64 = 2.4;
+
+#[test]
+fn the_cost_of_a_round_grows_in_proportion_to_the_machines() {
+    let work: Vec<u64> = [200, 400, 800].map(longest_tick_under_urgent_overload).into();
+    for pair in work.windows(2) {
+        let growth = pair[1] as f64 / pair[0] as f64;
+        assert!(growth <= MOST_GROWTH, "looks of the longest tick at 200, 400 and 800 machines: {work:?}");
+    }
+}
+
+#[test]
+fn urgent_work_that_finds_no_room_starves_nobody() {
+    let mut rig = Rig::new(100);
+    rig.run(2_000);
+    rig.submit(200, JobSpec { priority: Priority::Low, ..spec("req-000001", Kind::Array, 800, 1.0) });
+    rig.run(4_000);
+    // All machines are in one zone, so half of each of these can never run: searches in vain, for more than
+    // a round's budget.
+    for n in 0..300 {
+        let service = spec(&format!("req-{:06}", 100 + n), Kind::Service, 2, 1.0);
+        rig.submit(300, JobSpec { priority: Priority::Prod, spread: true, ..service });
+    }
+    rig.run(8_000);
+    let urgent = rig.submit(300, spec("req-000900", Kind::Array, 4, 2.0));
+    rig.run(6_000);
+    assert_eq!(rig.runs(&urgent), 4);
+}
+
+#[test]
+fn reservations_beyond_a_tick_are_all_used_in_turn() {
+    let mut rig = Rig::new(300);
+    rig.run(2_000);
+    let job = rig.submit(300, spec("req-000001", Kind::Array, 2_400, 1.0));
+    let other = rig.submit(300, spec("req-000002", Kind::Array, 1, 1.0));
+    for (n, name) in rig.leader.machines.keys().cloned().collect::<Vec<_>>().iter().cycle().take(2_400).enumerate() {
+        let of = if n == 0 { other } else { job };
+        rig.leader.reservations.add(Mono(rig.now), name.clone(), of, Amount { cpus: 1.0, ..Amount::default() });
+    }
+    rig.run(1_000);
+    assert_eq!((rig.runs(&job), rig.runs(&other)), (2_399, 1));
+}
+
+#[test]
+fn a_round_that_was_abandoned_starts_and_stops_nothing() {
+    let mut rig = Rig::new(2);
+    rig.run(2_000);
+    let job = rig.submit(300, spec("req-000001", Kind::Array, 2, 1.0));
+    for peer in ["plinth-1", "plinth-2"] {
+        rig.leader.peer_answered(Mono(rig.now), peer);
+    }
+    rig.leader.tick(Mono(rig.now + 1_000), Wall(rig.now + 1_000));
+    let mut asked = Vec::new();
+    for action in rig.leader.take_actions() {
+        if let Action::Plan { node, input } = action {
+            asked.push((node, input));
+        }
+    }
+    assert!(!asked.is_empty() && rig.leader.has_open_round(), "a peer plans for the job's team");
+    rig.leader.abandon_round();
+    for (node, input) in asked {
+        rig.leader.on_plan(Mono(rig.now + 1_100), &node, Some(miser::plan(&input)));
+    }
+    assert_eq!(rig.leader.take_actions(), [], "the plan comes too late");
+    rig.now += 1_100;
+    rig.run(2_000);
+    assert_eq!(rig.runs(&job), 2, "the next round starts it");
+}
+
+#[test]
+fn a_ledger_loaded_in_parts_is_the_same() {
+    let rows = |n: usize| (0..n).map(record).collect::<Vec<Row>>();
+    let job = |n: u32| {
+        let spec = spec(&format!("req-{n:06}"), Kind::Array, 2, 1.0);
+        Row {
+            path: format!("live/{}", spec.id),
+            value: json!(LiveRecord { at: Wall(0), spec, awaits: vec![] }),
+            revision: 9,
+        }
+    };
+    let stored = || Stored { live: (1..8).map(job).collect(), fleet: rows(7), ..Stored::default() };
+    let parts = stored().into_parts(3);
+    assert!(parts.iter().all(|p| p.live.len() + p.bits.len() + p.fleet.len() <= 3) && parts.len() == 6);
+    let load = |parts: Vec<Stored>| {
+        let mut leader = Leader::new(sample_settings(), Tuning::default(), kinds(), TERM, holder(), Mono(0));
+        parts.into_iter().for_each(|part| leader.load_part(Mono(0), part));
+        leader.finish_load(Mono(5));
+        leader.load_figures()
+    };
+    assert_eq!(load(parts), load(vec![stored()]));
+}
--- a/src/core/leader/workers.rs
+++ b/src/core/leader/workers.rs
@@ -428,8 +428,8 @@
             if let Some(m) = self.machines.get_mut(&machine) {
                 stop_slot(m, &(TaskId { job: *id, index }, attempt), 0.0);
             }
+            self.flush_machine(&machine);
         }
-        self.flush_orders();
     }
 
     /// Stops a task, or the whole gang that it belongs to, leaving it time to save.
