A batch of reports is decided on in parts of 256

Change: parts of 256 with everything else in between. A leader that stops leading in the middle answers as one that does not lead, which to the workers is a lost answer.

--- a/src/net/reports.rs
+++ b/src/net/reports.rs
@@ -15,6 +15,9 @@
 use serde_json::json;
 use std::sync::Arc;
 
+/// Reports of a batch that are decided on in one step; what else there is to do has its turn in between.
+const REPORTS_PER_STEP: usize = 256;
+
 fn decision(status: u32, body: impl Into<Bytes>) -> ReportDecision {
     ReportDecision { status, body: body.into() }
 }
@@ -118,22 +121,33 @@
 
 /// Decides on reports that a peer has passed on; none: the message can't be read or is of another
 /// version.
-pub fn answer_batch(node: &Arc<Node>, body: &[u8]) -> Option<Vec<u8>> {
+pub async fn answer_batch(node: &Arc<Node>, body: &[u8]) -> Option<Vec<u8>> {
     let batch = ReportBatch::decode(body).ok().filter(|b| b.version == VERSION)?;
-    let mut readable = Vec::new();
-    let mut is_readable = Vec::new();
-    for report in &batch.reports {
-        let report = serde_json::from_slice::<Report>(report);
-        is_readable.push(report.is_ok());
-        readable.extend(report);
-    }
-    let mut answer = ReportDecisions { version: VERSION, ..Default::default() };
-    if let Some(decisions) = decide(node, &readable, Some(&batch.from)) {
-        let mut decisions = decisions.into_iter();
-        let mut next =
-            |readable| if readable { decisions.next().unwrap_or_else(|| decided(None)) } else { malformed() };
-        answer.leading = true;
-        answer.decisions = is_readable.into_iter().map(&mut next).collect();
+    let mut answer = ReportDecisions { version: VERSION, leading: true, ..Default::default() };
+    for part in batch.reports.chunks(REPORTS_PER_STEP) {
+        match decide_part(node, part, &batch.from) {
+            Some(decisions) => answer.decisions.extend(decisions),
+            None => {
+                // It does not lead, or not any more: the peer asks for all of them again.
+                answer = ReportDecisions { version: VERSION, ..Default::default() };
+                break;
+            }
+        }
+        tokio::task::yield_now().await;
     }
+    // An empty batch asks whether this controller leads.
+    answer.leading &= !batch.reports.is_empty() || decide(node, &[], Some(&batch.from)).is_some();
     Some(answer.encode_to_vec())
 }
+
+/// Decides on some reports of a batch; none: this controller does not lead.
+fn decide_part(node: &Arc<Node>, reports: &[Bytes], from: &str) -> Option<Vec<ReportDecision>> {
+    let reports: Vec<Option<Report>> = reports.iter().map(|report| serde_json::from_slice(report).ok()).collect();
+    let readable: Vec<Report> = reports.iter().flatten().cloned().collect();
+    let mut decisions = decide(node, &readable, Some(from))?.into_iter();
+    let mut next = |report: &Option<Report>| match report {
+        Some(_) => decisions.next().unwrap_or_else(|| decided(None)),
+        None => malformed(),
+    };
+    Some(reports.iter().map(&mut next).collect())
+}
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -70,11 +70,12 @@
             }
             Route::Hello | Route::Plan | Route::Reports => {
                 let body = req.payload_with_max_size(MAX_PEER_BODY).await.ok();
-                let answer = body.and_then(|b| match self.route {
-                    Route::Plan => peers::plan(node, b),
-                    Route::Reports => reports::answer_batch(node, b),
-                    _ => peers::answer(node, b),
-                });
+                let answer = match (body, self.route) {
+                    (None, _) => None,
+                    (Some(body), Route::Plan) => peers::plan(node, body),
+                    (Some(body), Route::Reports) => reports::answer_batch(node, body).await,
+                    (Some(body), _) => peers::answer(node, body),
+                };
                 match answer {
                     Some(answer) => {
                         res.status_code(StatusCode::OK);
