The zones of a job are counted once for a search of room

Cause: with spread services a search counted the zones of the job's replicas for each machine that it looked at. Change: once, and kept up as room is found. Reports of a batch are no longer copied before they are decided on.

--- a/src/core/leader/room.rs
+++ b/src/core/leader/room.rs
@@ -234,21 +234,26 @@
         tasks: u32,
     ) -> u32 {
         let before = self.work.read();
-        let mut candidates = self.candidates_for(now, search, id, wanted);
+        let mut zones = self.zones_of(id);
+        let mut candidates = self.candidates_for(now, search, id, wanted, &zones);
         let mut made = 0;
         while made < tasks && !self.has_most_reservations() {
             let Some(at) = candidates.pop() else { break };
-            let machine = search.survey(self, now).machines[at].id.clone();
-            let Some(eviction) = self.eviction_for(now, id, &machine, wanted) else { continue };
+            let surveyed = &search.survey(self, now).machines[at];
+            let (machine, zone) = (surveyed.id.clone(), surveyed.market.zone);
+            let Some(j) = self.jobs.get(id) else { break };
+            let Some(eviction) = self.eviction_for(now, (id, j), &machine, wanted, &zones) else { continue };
             if candidates.has_better_than(eviction.loss) {
                 // Something else has been stopped or reserved there since.
                 candidates.push(eviction.loss, at);
                 continue;
             }
             self.evict(now, id, &machine, eviction.victims);
+            zones.push(ZoneCount { zone, count: 1 });
             made += 1;
             search.refresh(self, now, &machine);
-            if let Some(next) = self.eviction_for(now, id, &machine, wanted) {
+            let Some(j) = self.jobs.get(id) else { break };
+            if let Some(next) = self.eviction_for(now, (id, j), &machine, wanted, &zones) {
                 candidates.push(next.loss, at);
             }
         }
@@ -262,7 +267,14 @@
 
     /// The machines where stopping work makes room for a task of a job: all of them in small fleets, in large
     /// ones others in each round.
-    fn candidates_for(&self, now: Mono, search: &mut RoomSearch, id: &JobId, wanted: Wanted) -> Candidates {
+    fn candidates_for(
+        &self,
+        now: Mono,
+        search: &mut RoomSearch,
+        id: &JobId,
+        wanted: Wanted,
+        zones: &[ZoneCount],
+    ) -> Candidates {
         let mut candidates = Candidates::default();
         let Some(j) = self.jobs.get(id).filter(|_| !search.budget.is_spent()) else { return candidates };
         let (need, urgency) = (Amount::of_task(&j.spec), self.urgency(id, j));
@@ -282,31 +294,36 @@
         let first = (self.rounds as usize).wrapping_mul(MOST_CANDIDATES) % count.max(1);
         for at in (first..count).chain(0..first).filter(suited).take(MOST_CANDIDATES) {
             let machine = &survey.machines[at];
-            if let Some(eviction) = self.eviction_for(now, id, &machine.id, wanted) {
+            if let Some(eviction) = self.eviction_for(now, (id, j), &machine.id, wanted, zones) {
                 candidates.push(eviction.loss, at);
             }
         }
         candidates
     }
 
+    /// The zones in which a job's tasks are placed, or room is being made for them.
+    fn zones_of(&self, id: &JobId) -> Vec<ZoneCount> {
+        let Some(j) = self.jobs.get(id).filter(|j| j.spec.spread || j.spec.one_zone) else { return Vec::new() };
+        let mut zones = zone_counts(j, &self.machines);
+        let coming = self.reservations.of(id).filter_map(|r| self.machines.get(&r.machine));
+        zones.extend(coming.map(|m| ZoneCount { zone: m.zone, count: 1 }));
+        self.work.add_tasks(j.placed.len() + zones.len());
+        zones
+    }
+
     /// What has to be stopped on a machine for one more task of a job; none: the job can't have room there.
-    fn eviction_for(&self, now: Mono, id: &JobId, machine: &MachineId, wanted: Wanted) -> Option<Eviction> {
-        let (j, m) = (self.jobs.get(id)?, self.machines.get(machine)?);
+    fn eviction_for(
+        &self,
+        now: Mono,
+        (id, j): (&JobId, &Job),
+        machine: &MachineId,
+        wanted: Wanted,
+        zones: &[ZoneCount],
+    ) -> Option<Eviction> {
+        let m = self.machines.get(machine)?;
         let spec = &j.spec;
-        if !self.suits(now, j, machine, m) {
-            return None;
-        }
-        if spec.spread || spec.one_zone {
-            // What is placed, and what room is being made for.
-            let mut placed = zone_counts(j, &self.machines);
-            let coming = self.reservations.of(id).filter_map(|r| self.machines.get(&r.machine));
-            placed.extend(coming.map(|m| ZoneCount { zone: m.zone, count: 1 }));
-            self.work.add_tasks(placed.len());
-            if !miser::zone_allowed(spec.spread, spec.one_zone, spec.tasks, &placed, m.zone) {
-                return None;
-            }
-        }
-        self.eviction(now, (id, j), (machine, m), wanted)
+        let allowed = miser::zone_allowed(spec.spread, spec.one_zone, spec.tasks, zones, m.zone);
+        (allowed && self.suits(now, j, machine, m)).then(|| self.eviction(now, (id, j), (machine, m), wanted))?
     }
 
     /// Stops tasks on a machine and keeps the room for a task of a job.
--- a/src/net/reports.rs
+++ b/src/net/reports.rs
@@ -142,12 +142,14 @@
 
 /// Decides on some reports of a batch; none: this controller does not lead.
 fn decide_part(node: &Arc<Node>, reports: &[Bytes], from: &str) -> Option<Vec<ReportDecision>> {
-    let reports: Vec<Option<Report>> = reports.iter().map(|report| serde_json::from_slice(report).ok()).collect();
-    let readable: Vec<Report> = reports.iter().flatten().cloned().collect();
+    let mut readable = Vec::new();
+    let mut is_readable = Vec::new();
+    for report in reports {
+        let report = serde_json::from_slice::<Report>(report);
+        is_readable.push(report.is_ok());
+        readable.extend(report);
+    }
     let mut decisions = decide(node, &readable, Some(from))?.into_iter();
-    let mut next = |report: &Option<Report>| match report {
-        Some(_) => decisions.next().unwrap_or_else(|| decided(None)),
-        None => malformed(),
-    };
-    Some(reports.iter().map(&mut next).collect())
+    let mut next = |readable| if readable { decisions.next().unwrap_or_else(|| decided(None)) } else { malformed() };
+    Some(is_readable.into_iter().map(&mut next).collect())
 }
