--- a/src/net/loopback.rs
+++ b/src/net/loopback.rs
@@ -1,5 +1,6 @@
 //! One controller on loopback against stand-ins of the state service, the cloud and a worker.
 
+mod bounds;
 mod pipelines;
 
 use super::http::Http;
--- /dev/null
+++ b/src/net/loopback/bounds.rs
@@ -0,0 +1,69 @@
+//! What happens past the bound of a leader's lease, and how long one message may hold everything else.
+
+use super::*;
+use crate::core::leader::{Leader, TICK};
+use crate::core::leadership::LeaderRecord;
+use crate::core::records::{Ending, LiveRecord};
+use crate::core::submissions::{Submission, parse_submission};
+use crate::ids::JobId;
+use crate::net::reports;
+use crate::net::step_times::Step;
+use crate::peer::{ReportBatch, ReportDecisions, VERSION};
+use crate::time::Wall;
+use prost::Message;
+
+/// A leader in the middle of a round that a peer plans for.
+async fn leader_in_a_round(node: &Arc<Node>) -> Leader {
+    let types = node.cloud.types(&node.http, node.now()).await.expect("the stand-in names its types");
+    let record = LeaderRecord { node: node.settings.name.clone(), incarnation: 1, lease: LeaseId(7) };
+    let mut leader = Leader::new(node.settings.clone(), Tuning::default(), types, Term(5), record, Mono(0));
+    let (id, submission) = parse_submission(job("req-000001", 1).to_string().as_bytes()).unwrap_or_else(|_| panic!());
+    let Ok(Submission { spec, .. }) = submission else { panic!("the job is possible") };
+    let live = json!(LiveRecord { at: Wall(0), spec, awaits: Vec::new() });
+    leader.on_live(&id, &live, Revision(1));
+    node.settings.peers.iter().for_each(|peer| leader.peer_answered(Mono(0), &peer.name));
+    leader.tick(Mono(0) + TICK.times(40.0), Wall(2_000));
+    leader
+}
+
+#[tokio::test]
+async fn past_the_bound_a_round_is_abandoned_and_users_are_told_to_come_back() {
+    let world = Arc::new(Mutex::new(World::default()));
+    let (node, c) = controller(&world, true);
+    tokio::time::sleep(Span(200).std()).await;
+    let leader = leader_in_a_round(&node).await;
+    assert!(leader.has_open_round());
+    node.lock().leader = Some(leader);
+    // Not elected, or not any more: nothing is fed, and nothing of the round goes out.
+    let answer = leading::feed(&node, Step::Tick, |leader| {
+        leader.on_over(&JobId::parse("req-000001").unwrap(), Ending::Unknown)
+    });
+    assert!(answer.is_none());
+    assert!(node.lock().leader.as_ref().is_some_and(|leader| !leader.has_open_round()));
+    world.lock().unwrap().down = true;
+    assert_eq!(c.get("/api/jobs/req-000001").await.0, 503);
+}
+
+#[tokio::test]
+async fn a_large_batch_of_reports_is_answered_whole_and_in_order() {
+    let world = Arc::new(Mutex::new(World::default()));
+    let (node, _) = controller(&world, false);
+    tokio::time::sleep(Span(200).std()).await;
+    let report = world.lock().unwrap().report().to_string();
+    let malformed = |n: usize| n.is_multiple_of(97);
+    let body = |n: usize| if malformed(n) { "{}".to_string() } else { report.clone() };
+    let reports = (0..600).map(|n| body(n).into()).collect();
+    let batch = ReportBatch { version: VERSION, reports, from: "plinth-1".into() }.encode_to_vec();
+    let ask = async || {
+        let answer = reports::answer_batch(&node, &batch).await.expect("it can be read");
+        ReportDecisions::decode(answer.as_slice()).expect("it is a message")
+    };
+    let answer = ask().await;
+    assert!(!answer.leading && answer.decisions.is_empty(), "nobody leads here");
+    node.lock().leadership.elected(Term(5), LeaseId(7), node.now());
+    let answer = ask().await;
+    assert!(answer.leading);
+    let statuses: Vec<u32> = answer.decisions.iter().map(|decision| decision.status).collect();
+    let expected: Vec<u32> = (0..600).map(|n| if malformed(n) { 400 } else { 200 }).collect();
+    assert_eq!(statuses, expected);
+}
