Half the budgets of a round: the smaller controllers renew their lease through it

Change: 16,384 + 32 x machines looks for room, 256 machines a search, 65,536 choices to begin with, at the least 24 jobs a planner.

--- a/src/core/leader/room.rs
+++ b/src/core/leader/room.rs
@@ -39,7 +39,7 @@
 /// Tasks of a job for which room is sought in one round.
 const MOST_ROOM_AT_ONCE: u32 = 64;
 /// Machines whose tasks one search passes over; a larger fleet has its turn part by part.
-const MOST_CANDIDATES: usize = 512;
+const MOST_CANDIDATES: usize = 256;
 /// Reservations that there may be for each machine, and at the least: each is looked at when its turn comes.
 const RESERVATIONS_PER_MACHINE: usize = 2;
 const LEAST_RESERVATIONS: usize = 1_024;
--- a/src/core/leader/room_survey.rs
+++ b/src/core/leader/room_survey.rs
@@ -9,8 +9,8 @@
 /// How many priorities there are; [`priority_number`] is below it.
 const PRIORITIES: usize = 4;
 /// Looks that one round may spend on finding room for waiting work, for each machine and at the least.
-const SEARCH_LOOKS_PER_MACHINE: u64 = 64;
-const LEAST_SEARCH_LOOKS: u64 = 32_768;
+const SEARCH_LOOKS_PER_MACHINE: u64 = 32;
+const LEAST_SEARCH_LOOKS: u64 = 16_384;
 
 /// How urgent work is that seeks room.
 #[derive(Clone, Copy)]
--- a/src/core/miser.rs
+++ b/src/core/miser.rs
@@ -12,8 +12,8 @@
 const EPS: f64 = 1e-6;
 /// Most comparisons of jobs with places that a round begins with, and the fewest and most jobs that it plans
 /// for. The rest is planned for in later rounds.
-const MOST_CHOICES: usize = 131_072;
-const LEAST_JOBS: usize = 32;
+const MOST_CHOICES: usize = 65_536;
+const LEAST_JOBS: usize = 24;
 const MOST_JOBS: usize = 256;
 /// How many times a batch a round looks ahead to machines that aren't up yet.
 const OUTLOOK: u32 = 8;
