Work is stopped for a gang only in the zone that was found to hold it

Cause, found in the read-through of room: whether a gang that must be in one zone can have room was decided by zone, and then work was stopped wherever least was lost, in any zone. Where that was a zone too small for the gang, its work was stopped in vain, all others were closed to the gang, and the same came again every 4 s: neither the gang nor the stopped work ran.

Change: a request for room names the zone; for gangs, all its machines are looked at. A search that has begun goes on to its end, so a gang is not left with half of its room; budgets are looked at before. The room where an image is and the room for waiting work have a budget each.

--- a/src/core/leader/room.rs
+++ b/src/core/leader/room.rs
@@ -11,6 +11,24 @@
     WhereImageIs,
 }
 
+/// Room that is to be made for tasks of a job.
+pub(super) struct RoomRequest {
+    pub job: JobId,
+    pub wanted: Wanted,
+    pub tasks: u32,
+    /// In this zone only; none: in any.
+    pub zone: Option<u32>,
+}
+
+impl RoomRequest {
+    fn anywhere(job: JobId, tasks: u32) -> RoomRequest {
+        RoomRequest { job, wanted: Wanted::Anywhere, tasks, zone: None }
+    }
+}
+
+/// Stands for all zones where a gang may be anywhere.
+const ANY_ZONE: u32 = u32::MAX;
+
 /// What to do with room for a gang that doesn't suffice yet.
 #[derive(Clone, Copy, PartialEq)]
 enum Insufficient {
@@ -123,7 +141,7 @@
             // All of it or nothing: work is stopped only where that is enough.
             self.gather_for(now, search, &seeker.id, Insufficient::Leave);
         } else {
-            self.make_room(now, search, &seeker.id, Wanted::Anywhere, seeker.tasks);
+            self.make_room(now, search, &RoomRequest::anywhere(seeker.id, seeker.tasks));
         }
     }
 
@@ -225,24 +243,18 @@
     }
 
     /// Stops work of lower priority where that makes room for tasks of a job. Returns for how many.
-    pub(super) fn make_room(
-        &mut self,
-        now: Mono,
-        search: &mut RoomSearch,
-        id: &JobId,
-        wanted: Wanted,
-        tasks: u32,
-    ) -> u32 {
+    pub(super) fn make_room(&mut self, now: Mono, search: &mut RoomSearch, request: &RoomRequest) -> u32 {
         let before = self.work.read();
+        let RoomRequest { job: id, wanted, tasks, .. } = request;
         let mut zones = self.zones_of(id);
-        let mut candidates = self.candidates_for(now, search, id, wanted, &zones);
+        let mut candidates = self.candidates_for(now, search, request, &zones);
         let mut made = 0;
-        while made < tasks && !self.has_most_reservations() {
+        while made < *tasks && !self.has_most_reservations() {
             let Some(at) = candidates.pop() else { break };
             let surveyed = &search.survey(self, now).machines[at];
             let (machine, zone) = (surveyed.id.clone(), surveyed.market.zone);
             let Some(j) = self.jobs.get(id) else { break };
-            let Some(eviction) = self.eviction_for(now, (id, j), &machine, wanted, &zones) else { continue };
+            let Some(eviction) = self.eviction_for(now, (id, j), &machine, *wanted, &zones) else { continue };
             if candidates.has_better_than(eviction.loss) {
                 // Something else has been stopped or reserved there since.
                 candidates.push(eviction.loss, at);
@@ -253,7 +265,7 @@
             made += 1;
             search.refresh(self, now, &machine);
             let Some(j) = self.jobs.get(id) else { break };
-            if let Some(next) = self.eviction_for(now, (id, j), &machine, wanted, &zones) {
+            if let Some(next) = self.eviction_for(now, (id, j), &machine, *wanted, &zones) {
                 candidates.push(next.loss, at);
             }
         }
@@ -271,14 +283,15 @@
         &self,
         now: Mono,
         search: &mut RoomSearch,
-        id: &JobId,
-        wanted: Wanted,
+        request: &RoomRequest,
         zones: &[ZoneCount],
     ) -> Candidates {
         let mut candidates = Candidates::default();
-        let Some(j) = self.jobs.get(id).filter(|_| !search.budget.is_spent()) else { return candidates };
+        let RoomRequest { job: id, wanted, zone, .. } = request;
+        let Some(j) = self.jobs.get(id) else { return candidates };
         let (need, urgency) = (Amount::of_task(&j.spec), self.urgency(id, j));
-        let permitted = self.permitted_markets(&j.spec);
+        let mut permitted = self.permitted_markets(&j.spec);
+        permitted.retain(|market| zone.is_none_or(|zone| market.zone == zone));
         self.work.add_jobs(1);
         let survey = search.survey(self, now);
         let promising = survey.promising(&permitted, urgency, &need);
@@ -292,9 +305,11 @@
         };
         let count = survey.machines.len();
         let first = (self.rounds as usize).wrapping_mul(MOST_CANDIDATES) % count.max(1);
-        for at in (first..count).chain(0..first).filter(suited).take(MOST_CANDIDATES) {
+        // A gang was found to have room on all of them together.
+        let most = if j.spec.kind == Kind::Gang { count } else { MOST_CANDIDATES };
+        for at in (first..count).chain(0..first).filter(suited).take(most) {
             let machine = &survey.machines[at];
-            if let Some(eviction) = self.eviction_for(now, (id, j), &machine.id, wanted, zones) {
+            if let Some(eviction) = self.eviction_for(now, (id, j), &machine.id, *wanted, zones) {
                 candidates.push(eviction.loss, at);
             }
         }
@@ -473,13 +488,15 @@
             .filter(|(_, room)| room.most >= tasks)
             .max_by_key(|(zone, room)| (held_in == Some(*zone), room.soon.min(tasks), room.free_tasks()));
         search.budget.spend(self.work.read().since(&before).total());
-        let Some((_, room)) = best.filter(|(_, room)| insufficient == Insufficient::Hold || room.soon >= tasks) else {
+        let Some((zone, room)) = best.filter(|(_, room)| insufficient == Insufficient::Hold || room.soon >= tasks)
+        else {
             return false;
         };
         let mut left = tasks - self.hold_free_room(now, search, id, &room);
         if left > 0 && room.soon >= tasks {
             debug!("room gathered for {id}: tasks={tasks} free={}", tasks - left);
-            left -= self.make_room(now, search, id, Wanted::Anywhere, left);
+            let zone = (zone != ANY_ZONE).then_some(zone);
+            left -= self.make_room(now, search, &RoomRequest { zone, ..RoomRequest::anywhere(*id, left) });
         }
         self.work.add_tasks((tasks - left) as usize);
         true
@@ -504,7 +521,7 @@
                 free.add(held);
                 soon.add(held);
             }
-            let zone = if j.spec.one_zone { machine.market.zone } else { u32::MAX };
+            let zone = if j.spec.one_zone { machine.market.zone } else { ANY_ZONE };
             let room = zones.entry(zone).or_default();
             let free = times_in(&free, &need);
             if free > 0 {
--- a/src/core/leader/room_survey.rs
+++ b/src/core/leader/room_survey.rs
@@ -8,7 +8,7 @@
 
 /// How many priorities there are; [`priority_number`] is below it.
 const PRIORITIES: usize = 4;
-/// Looks that one round may spend on finding room for waiting work, for each machine and at the least.
+/// Looks that one search for many jobs may take, for each machine and at the least.
 const SEARCH_LOOKS_PER_MACHINE: u64 = 32;
 const LEAST_SEARCH_LOOKS: u64 = 16_384;
 
@@ -117,7 +117,8 @@
     }
 }
 
-/// The search for room in one round: its survey, made when it is first needed, and its budget.
+/// A search for room for many jobs: its survey, made when it is first needed, and its budget. No tasks are
+/// placed meanwhile.
 pub(super) struct RoomSearch {
     survey: Option<RoomSurvey>,
     pub budget: SearchBudget,
@@ -128,11 +129,6 @@
         RoomSearch { survey: None, budget: SearchBudget::new(machines) }
     }
 
-    /// Tasks have been placed since: the machines have to be looked at anew.
-    pub fn forget_survey(&mut self) {
-        self.survey = None;
-    }
-
     pub fn survey(&mut self, leader: &Leader, now: Mono) -> &RoomSurvey {
         self.survey.get_or_insert_with(|| leader.survey_room(now))
     }
--- a/src/core/leader/rounds.rs
+++ b/src/core/leader/rounds.rs
@@ -1,7 +1,7 @@
 //! Rounds of decisions: the view, the parts of the plan, and what of it is committed.
 
 use super::planner_view::{PlannedJob, PlannerView, deal, zone_counts};
-use super::room::Wanted;
+use super::room::{RoomRequest, Wanted};
 use super::room_survey::RoomSearch;
 use super::*;
 
@@ -127,8 +127,9 @@
                 continue;
             }
             let mut count = p.count;
-            if self.starts_late(now, job, machine, view.input.jobs.get(p.job as usize)) {
-                count -= self.make_room(now, &mut search, job, Wanted::WhereImageIs, count);
+            if !search.budget.is_spent() && self.starts_late(now, job, machine, view.input.jobs.get(p.job as usize)) {
+                let request = RoomRequest { job: *job, wanted: Wanted::WhereImageIs, tasks: count, zone: None };
+                count -= self.make_room(now, &mut search, &request);
             }
             let Some(j) = self.jobs.get(job) else { continue };
             let from = if *reclaimed { &j.reclaimed } else { &j.ready };
@@ -156,8 +157,8 @@
             }
         }
         self.rent(now, &out.wishes);
-        search.forget_survey();
-        self.heed_waiting(now, view, out, &mut search);
+        // Tasks have been placed since the last survey.
+        self.heed_waiting(now, view, out, &mut RoomSearch::new(self.machines.len()));
         self.flush_orders();
     }
 
--- a/src/core/leader/tests/bounded_work.rs
+++ b/src/core/leader/tests/bounded_work.rs
@@ -142,3 +142,33 @@
     };
     assert_eq!(load(parts), load(vec![stored()]));
 }
+
+#[test]
+fn work_is_stopped_for_a_gang_only_in_the_zone_that_can_hold_it() {
+    // The machines of zone b have the work that is missed least, but are too few for the gang.
+    let mut rig = Rig::new(6);
+    let zone_of = |n: usize| if n < 4 { "a" } else { "b" };
+    for (n, worker) in rig.workers.values_mut().enumerate() {
+        worker.zone = zone_of(n).into();
+    }
+    let rows = (0..6).map(|n| {
+        let mut row = record(n);
+        row.value["zone"] = json!(zone_of(n));
+        row
+    });
+    rig.leader = Leader::new(sample_settings(), Tuning::default(), kinds(), TERM, holder(), Mono(0));
+    rig.leader.load(Mono(0), Stored { fleet: rows.collect(), ..Stored::default() });
+    rig.run(2_000);
+    let low = |n: u32, zone: &str| {
+        let spec = spec(&format!("req-{n:06}"), Kind::Array, 4, 8.0);
+        JobSpec { priority: Priority::Low, zone: Some(zone.into()), ..spec }
+    };
+    let old = rig.submit(200, low(1, "a"));
+    rig.run(10_000);
+    let young = rig.submit(200, low(2, "b"));
+    rig.run(2_000);
+    assert_eq!((rig.runs(&old), rig.runs(&young)), (4, 2));
+    let gang = rig.submit(200, spec("req-000003", Kind::Gang, 3, 8.0));
+    rig.run(6_000);
+    assert_eq!((rig.runs(&gang), rig.runs(&young)), (3, 2), "nothing is stopped in vain");
+}
