--- a/src/core/leader/planner_view.rs
+++ b/src/core/leader/planner_view.rs
@@ -54,6 +54,7 @@
     wall: Wall,
     waiting: &'a BTreeSet<JobId>,
     guaranteed: &'a BTreeSet<JobId>,
+    /// The keys of the view's machines.
     keys: &'a HashMap<&'a MachineId, u32>,
     /// Seconds that the fleet needs for all that waits.
     drain_s: f64,
--- a/src/core/leader/rounds.rs
+++ b/src/core/leader/rounds.rs
@@ -85,6 +85,7 @@
         self.carry_out(now, &round.view, &out);
     }
 
+    /// Whether a round waits for the plans of peers.
     pub fn has_open_round(&self) -> bool {
         self.open_round.is_some()
     }
--- a/src/net/leading.rs
+++ b/src/net/leading.rs
@@ -126,7 +126,9 @@
     let (answer, term, actions) = {
         let mut inner = node.lock();
         let Some(term) = inner.leadership.acting(now) else {
-            inner.leader.as_mut().map(Leader::abandon_round);
+            if let Some(leader) = &mut inner.leader {
+                leader.abandon_round();
+            }
             return None;
         };
         let (answer, actions) = timed(&mut inner, step, |leader| (input(leader), leader.take_actions()))?;
