Read-through: one counter for rare log lines, one form of a machine's unreserved room, of a timed input and of a batch in parts

Behaviour is the same; found in reading the change again: - bad messages of peers and long steps were counted and logged seldom in two ways: RareLog serves both; - "free, less what is reserved" stood four times, once with a map of all reservations made each round: `unreserved`, on the index; - a step was timed in two ways: `measured`; - a batch of reports asked again whether this controller leads: its first part, which may be empty, says so; - the search for a replica to move counted its looks in three places.

--- a/src/core/leader/consolidation.rs
+++ b/src/core/leader/consolidation.rs
@@ -57,19 +57,20 @@
         let mut looks = self.machines.len();
         let most = LEAST_LOOKS + LOOKS_PER_MACHINE * self.machines.len();
         let tried = self.move_sources_tried.min(sources.len());
+        let mut result = (None, 0);
         for (at, source) in sources.iter().enumerate().skip(tried) {
             if looks > most {
-                self.work.add_machines(looks);
-                return (None, at);
+                result = (None, at);
+                break;
             }
             let found = self.move_from(now, source, &loaded, &mut looks);
             if found.is_some() {
-                self.work.add_machines(looks);
-                return (found, 0);
+                result = (found, 0);
+                break;
             }
         }
         self.work.add_machines(looks);
-        (None, 0)
+        result
     }
 
     fn loaded<'a>(&self, id: &'a MachineId, machine: &'a Machine) -> Loaded<'a> {
--- a/src/core/leader/planner_view.rs
+++ b/src/core/leader/planner_view.rs
@@ -135,10 +135,6 @@
     /// The machines that are up or coming, as far as they have room for the least that anyone needs.
     fn machine_views(&self, now: Mono, least: Option<Amount>) -> MachineViews {
         let quiet = self.quiet();
-        let mut kept: BTreeMap<&MachineId, Amount> = BTreeMap::new();
-        for r in self.reservations.iter() {
-            kept.entry(&r.machine).or_default().add(&r.need);
-        }
         let mut all = MachineViews::default();
         for (id, m) in &self.machines {
             let t = &self.types[m.kind];
@@ -151,10 +147,7 @@
             if usable {
                 all.cpus_up += t.cpus;
             }
-            let mut free = m.free(t);
-            if let Some(kept) = kept.get(id) {
-                free.sub(kept);
-            }
+            let free = self.unreserved(id, m, None);
             if least.is_none_or(|least| !free.holds(&least)) {
                 continue;
             }
--- a/src/core/leader/reservations.rs
+++ b/src/core/leader/reservations.rs
@@ -40,10 +40,6 @@
         self.by_number.is_empty()
     }
 
-    pub fn iter(&self) -> impl Iterator<Item = &Reservation> {
-        self.by_number.values()
-    }
-
     pub fn on(&self, machine: &MachineId) -> impl Iterator<Item = &Reservation> {
         self.numbered(self.by_machine.get(machine))
     }
--- a/src/core/leader/room.rs
+++ b/src/core/leader/room.rs
@@ -199,6 +199,14 @@
         part.cpus + 1e-6 >= s.cpus && part.memory_gb + 1e-6 >= s.memory_gb
     }
 
+    /// What of a machine is neither used nor reserved, but for one job's reservations if that is named.
+    pub(super) fn unreserved(&self, id: &MachineId, m: &Machine, but_for: Option<&JobId>) -> Amount {
+        let mut free = m.free(&self.types[m.kind]);
+        let reservations = self.reservations.on(id).filter(|r| but_for != Some(&r.job));
+        reservations.for_each(|r| free.sub(&r.need));
+        free
+    }
+
     /// Starts what room was kept for, once it is there.
     pub(super) fn use_reservations(&mut self, now: Mono) {
         self.reservations.expire(now);
@@ -375,9 +383,8 @@
         if spared && !service {
             return None;
         }
-        let mut free = m.free(t);
         self.work.add_tasks(m.slots.len());
-        self.reservations.on(mid).for_each(|r| free.sub(&r.need));
+        let mut free = self.unreserved(mid, m, None);
         // What is already told to stop will be free soon.
         for s in m.slots.values().filter(|s| !s.exited() && s.stop.is_some()) {
             free.add(&s.need);
--- a/src/core/leader/room_survey.rs
+++ b/src/core/leader/room_survey.rs
@@ -198,10 +198,7 @@
             return None;
         }
         self.work.add_tasks(m.slots.len());
-        let mut free = m.free(&self.types[m.kind]);
-        for reservation in self.reservations.on(id) {
-            free.sub(&reservation.need);
-        }
+        let free = self.unreserved(id, m, None);
         let mut yields = [free; PRIORITIES];
         let mut beyond = [Amount::default(); PRIORITIES];
         for (key, slot) in m.slots.iter().filter(|(_, slot)| !slot.exited()) {
--- a/src/core/leader/rounds.rs
+++ b/src/core/leader/rounds.rs
@@ -210,14 +210,10 @@
 
     /// The leader's own check of one start, whoever planned it.
     pub(super) fn may_place(&mut self, now: Mono, job: &JobId, machine: &MachineId, n: f64) -> bool {
-        let mut kept = Amount::default();
-        self.reservations.on(machine).filter(|r| r.job != *job).for_each(|r| kept.add(&r.need));
         let (Some(j), Some(m)) = (self.jobs.get(job), self.machines.get(machine)) else { return false };
-        let t = &self.types[m.kind];
         let s = &j.spec;
         let need = Amount::of_task(s);
-        let mut free = m.free(t);
-        free.sub(&kept);
+        let free = self.unreserved(machine, m, Some(job));
         let placed = zone_counts(j, &self.machines);
         let team = j.team;
         !self.in_doubt
--- a/src/net/leading.rs
+++ b/src/net/leading.rs
@@ -12,6 +12,7 @@
 use crate::core::leadership::{LEADER_KEY, LeaderRecord, should_hand_over};
 use crate::core::records::{BITS, Ending, LIVE};
 use crate::core::shares::SHARES_KEY;
+use crate::core::work::Work;
 use crate::ids::{JobId, MachineId, Revision, Term};
 use crate::peer::HelloAnswer;
 use crate::time::{Mono, Span};
@@ -22,7 +23,7 @@
 use serde_json::json;
 use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 pub const KINDS_KEY: &str = "ctl/kinds";
 /// Stored records that a new leader reads in one step.
@@ -102,10 +103,9 @@
 /// Gives a new leader what is stored, a part at a time: renewals, users and reports are served in between.
 async fn load_in_steps(node: &Node, leader: &mut Leader, stored: Stored) {
     for part in stored.into_parts(ROWS_PER_STEP) {
-        let (started, before) = (Instant::now(), leader.work_done());
-        leader.load_part(node.now(), part);
-        let work = leader.work_done().since(&before);
-        node.lock().step_times.record(Step::Load, started.elapsed(), work);
+        let now = node.now();
+        let ((), took, work) = measured(leader, |leader| leader.load_part(now, part));
+        node.lock().step_times.record(now, Step::Load, took, work);
         tokio::task::yield_now().await;
     }
     leader.finish_load(node.now());
@@ -131,7 +131,7 @@
             }
             return None;
         };
-        let (answer, actions) = timed(&mut inner, step, |leader| (input(leader), leader.take_actions()))?;
+        let (answer, actions) = timed(&mut inner, now, step, |leader| (input(leader), leader.take_actions()))?;
         (answer, term, actions)
     };
     for action in actions {
@@ -146,19 +146,23 @@
 }
 
 /// Has the ledger, if there is one, take an input, and notes how long that took.
-fn timed<T>(inner: &mut Inner, step: Step, input: impl FnOnce(&mut Leader) -> T) -> Option<T> {
-    let leader = inner.leader.as_mut()?;
+fn timed<T>(inner: &mut Inner, now: Mono, step: Step, input: impl FnOnce(&mut Leader) -> T) -> Option<T> {
+    let (answer, took, work) = measured(inner.leader.as_mut()?, input);
+    inner.step_times.record(now, step, took, work);
+    Some(answer)
+}
+
+/// Gives a ledger an input. Returns its answer, how long that took and what it worked through.
+fn measured<T>(leader: &mut Leader, input: impl FnOnce(&mut Leader) -> T) -> (T, Duration, Work) {
     let (started, before) = (Instant::now(), leader.work_done());
     let answer = input(leader);
-    let work = leader.work_done().since(&before);
-    inner.step_times.record(step, started.elapsed(), work);
-    Some(answer)
+    (answer, started.elapsed(), leader.work_done().since(&before))
 }
 
 /// Tells the ledger something, if there is one: also while not acting, as it is knowledge and no order.
 fn inform(node: &Node, tell: impl FnOnce(&mut Leader, Mono)) {
     let now = node.now();
-    timed(&mut node.lock(), Step::Result, |leader| tell(leader, now));
+    timed(&mut node.lock(), now, Step::Result, |leader| tell(leader, now));
 }
 
 /// Carries out an action of the leader of a term. This process may have been frozen since the action
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,7 +1,6 @@
 //! The edges: sockets and timers round the core.
 
 pub mod ancestors;
-pub mod bad_messages;
 pub mod cloud;
 pub mod detours;
 pub mod election;
@@ -12,6 +11,7 @@
 pub mod node;
 pub mod offloading;
 pub mod peers;
+pub mod rare_log;
 pub mod reports;
 pub mod server;
 pub mod state;
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -1,12 +1,12 @@
 //! What the tasks of one controller share.
 
 use super::ancestors::CheckedPipelines;
-use super::bad_messages::BadMessages;
 use super::cloud::CloudClient;
 use super::detours::Detours;
 use super::forwarding::{Forwarding, ReportWaits};
 use super::http::Http;
 use super::offloading::Offloading;
+use super::rare_log::RareLog;
 use super::state::{StateClient, StateError};
 use super::step_times::StepTimes;
 use crate::config::{Settings, Tuning};
@@ -68,7 +68,8 @@
     pub successor: Option<String>,
     /// Workers' reports on their way to the leader.
     pub forwarding: Forwarding,
-    pub bad_messages: BadMessages,
+    /// Messages of peers that can't be read, are too large or of another version.
+    pub bad_messages: RareLog,
     /// While another leads and can't be reached: the peers that reach it.
     pub detours: Detours,
     /// While leading: the peers that take workers' reports.
@@ -141,6 +142,9 @@
     }
 }
 
+/// Bad messages of peers are logged this often.
+const BAD_MESSAGES_INTERVAL: Span = Span(10_000);
+
 const SILENT_AFTER: Span = Span(1_500);
 
 impl Node {
@@ -167,7 +171,7 @@
             silent: HashSet::new(),
             successor: None,
             forwarding: Forwarding::default(),
-            bad_messages: BadMessages::default(),
+            bad_messages: RareLog::new(BAD_MESSAGES_INTERVAL),
             detours: Detours::default(),
             offloading: Offloading::default(),
             overload: Overload::default(),
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -114,8 +114,8 @@
 /// Plans for a leader. It decides nothing: the leader checks every placement.
 pub fn plan(node: &Node, body: &Bytes) -> Option<Vec<u8>> {
     let input = PlanInput::decode(body.as_ref()).ok().filter(|input| input.version == VERSION)?;
-    let (started, meter) = (Instant::now(), WorkMeter::default());
+    let (now, started, meter) = (node.now(), Instant::now(), WorkMeter::default());
     let output = miser::plan_metered(&input, &meter);
-    node.lock().step_times.record(Step::PlanForPeer, started.elapsed(), meter.read());
+    node.lock().step_times.record(now, Step::PlanForPeer, started.elapsed(), meter.read());
     Some(output.encode_to_vec())
 }
--- a/src/net/reports.rs
+++ b/src/net/reports.rs
@@ -123,21 +123,22 @@
 /// version.
 pub async fn answer_batch(node: &Arc<Node>, body: &[u8]) -> Option<Vec<u8>> {
     let batch = ReportBatch::decode(body).ok().filter(|b| b.version == VERSION)?;
-    let mut answer = ReportDecisions { version: VERSION, leading: true, ..Default::default() };
-    for part in batch.reports.chunks(REPORTS_PER_STEP) {
-        match decide_part(node, part, &batch.from) {
-            Some(decisions) => answer.decisions.extend(decisions),
-            None => {
-                // It does not lead, or not any more: the peer asks for all of them again.
-                answer = ReportDecisions { version: VERSION, ..Default::default() };
-                break;
-            }
-        }
+    let decisions = decide_in_parts(node, &batch).await;
+    let leading = decisions.is_some();
+    let answer = ReportDecisions { version: VERSION, leading, decisions: decisions.unwrap_or_default() };
+    Some(answer.encode_to_vec())
+}
+
+/// Decides on all reports of a batch; none: this controller does not lead, or not any more.
+async fn decide_in_parts(node: &Arc<Node>, batch: &ReportBatch) -> Option<Vec<ReportDecision>> {
+    // An empty batch asks whether this controller leads.
+    let (first, rest) = batch.reports.split_at(batch.reports.len().min(REPORTS_PER_STEP));
+    let mut decisions = decide_part(node, first, &batch.from)?;
+    for part in rest.chunks(REPORTS_PER_STEP) {
         tokio::task::yield_now().await;
+        decisions.extend(decide_part(node, part, &batch.from)?);
     }
-    // An empty batch asks whether this controller leads.
-    answer.leading &= !batch.reports.is_empty() || decide(node, &[], Some(&batch.from)).is_some();
-    Some(answer.encode_to_vec())
+    Some(decisions)
 }
 
 /// Decides on some reports of a batch; none: this controller does not lead.
--- a/src/net/step_times.rs
+++ b/src/net/step_times.rs
@@ -2,21 +2,22 @@
 //! core works, renewals, reports and users wait.
 
 use super::node::Node;
+use super::rare_log::RareLog;
 use crate::core::work::Work;
-use crate::time::Span;
+use crate::time::{Mono, Span};
 use hdrhistogram::Histogram;
 use log::{info, warn};
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// The line of figures is written this often.
 const LINE_INTERVAL: Span = Span(10_000);
 /// A step that takes this long is worth a line of its own.
 const LONG_STEP: Duration = Duration::from_millis(250);
 /// At most one such line in this time.
-const LONG_STEP_INTERVAL: Duration = Duration::from_secs(1);
+const LONG_STEP_INTERVAL: Span = Span(1_000);
 /// Longest step that the histograms tell apart, in microseconds.
 const LONGEST_MICROS: u64 = 600_000_000;
 
@@ -56,39 +57,35 @@
 }
 
 /// Step times since the last line.
-#[derive(Default)]
 pub struct StepTimes {
     histograms: BTreeMap<Step, Histogram<u64>>,
     longest: Option<Longest>,
-    warned_at: Option<Instant>,
-    /// Long steps since then that got no line.
-    unmentioned: u32,
+    long_steps: RareLog,
+}
+
+impl Default for StepTimes {
+    fn default() -> StepTimes {
+        StepTimes { histograms: BTreeMap::new(), longest: None, long_steps: RareLog::new(LONG_STEP_INTERVAL) }
+    }
 }
 
 impl StepTimes {
-    /// Takes in a step that has just ended.
-    pub fn record(&mut self, step: Step, took: Duration, work: Work) {
+    /// Takes in a step that began at `now` and has just ended.
+    pub fn record(&mut self, now: Mono, step: Step, took: Duration, work: Work) {
         let micros = (took.as_micros() as u64).clamp(1, LONGEST_MICROS);
         let histogram = self.histograms.entry(step).or_insert_with(new_histogram);
         histogram.saturating_record(micros);
-        if took >= LONG_STEP {
-            self.mention(step, took, &work);
+        if took >= LONG_STEP
+            && let Some(count) = self.long_steps.note(now)
+        {
+            let (name, unmentioned) = (step.name(), count - 1);
+            warn!("long step: {name} took {} ms, {work}, unmentioned={unmentioned}", took.as_millis());
         }
         if self.longest.as_ref().is_none_or(|longest| took > longest.took) {
             self.longest = Some(Longest { step, took, work });
         }
     }
 
-    fn mention(&mut self, step: Step, took: Duration, work: &Work) {
-        if self.warned_at.is_some_and(|at| at.elapsed() < LONG_STEP_INTERVAL) {
-            self.unmentioned += 1;
-            return;
-        }
-        self.warned_at = Some(Instant::now());
-        let unmentioned = std::mem::take(&mut self.unmentioned);
-        warn!("long step: {} took {} ms, {work}, unmentioned={unmentioned}", step.name(), took.as_millis());
-    }
-
     /// The figures since the last call; none: there was no step.
     fn take_line(&mut self) -> Option<String> {
         let longest = self.longest.take()?;
