Tests' servers get ports that no outgoing connection can take

Cause, looked for after one failure of the suite (a loopback test whose wait of 10 s ran out): `free_addr` took a port of the system's range for outgoing connections, closed it and opened it again later; in between a connection or another test could have it, and the server's failure to start isn't seen. Whether the suite's failure was this one can't be told from its output; the same test also waits 9.25 of its 10 s for a lease, here as in the sources before, which leaves little room on a busy machine.

No assertion or limit was changed.

--- a/src/net/loopback.rs
+++ b/src/net/loopback.rs
@@ -18,6 +18,7 @@
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 
 #[derive(Default)]
@@ -159,8 +160,23 @@
     }
 }
 
+/// Ports of the tests' servers: below those that the system gives to outgoing connections, which could take
+/// one between the look here and the server's start.
+const TEST_PORTS: std::ops::Range<u32> = 10_000..32_000;
+
+/// An address that nothing listens on and no other test of this process gets.
 pub(super) fn free_addr() -> SocketAddr {
-    std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).unwrap()
+    static TAKEN: AtomicU32 = AtomicU32::new(0);
+    // Processes that run beside each other begin far apart.
+    let first = std::process::id().wrapping_mul(211);
+    loop {
+        let number = first.wrapping_add(TAKEN.fetch_add(1, Ordering::Relaxed));
+        let port = TEST_PORTS.start + number % (TEST_PORTS.end - TEST_PORTS.start);
+        let addr = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if std::net::TcpListener::bind(addr).is_ok() {
+            return addr;
+        }
+    }
 }
 
 fn stand_in(world: &Arc<Mutex<World>>, part: Part) -> SocketAddr {
