Log the orders of each message to a worker with their fencing token

What: debug lines for orders sent directly and with the response to a heartbeat: token, request number, and each order. Three causes were possible, and the logs didn't tell them apart: (1) the worker accepts a copy of the run order, as nothing has raised its token since; (2) the leader, or the next one, sends the run order again; (3) the exit was cleared, or the task placed elsewhere, before it had ended on the first machine. The log had neither tokens nor orders.

--- a/src/core/scheduler/heartbeats.rs
+++ b/src/core/scheduler/heartbeats.rs
@@ -5,12 +5,12 @@
 //! an explicit [`HeartbeatRejection`].
 
 use super::Scheduler;
-use super::orders::MAX_ORDERS_PER_MESSAGE;
+use super::orders::{MAX_ORDERS_PER_MESSAGE, describe_orders};
 use crate::core::machine::{HeartbeatRoute, Machine, Registration, TaskAttempt};
 use crate::ids::{FencingToken, MachineId, Term};
 use crate::time::MonotonicTime;
 use crate::wire::{Heartbeat, HeartbeatResponse, Order, TaskPhase, TaskStatus};
-use log::{Level, info, log, warn};
+use log::{Level, debug, info, log, warn};
 use thiserror::Error;
 
 /// Why a heartbeat gets no response; the worker's lease is then not renewed.
@@ -208,6 +208,9 @@
             orders.extend(clears.into_iter().take(remaining));
             machine.outbox = rest;
         }
+        if !orders.is_empty() {
+            debug!("machine {id}: orders sent with a response, token={token} orders={}", describe_orders(&orders));
+        }
         self.flush_machine(id);
         Ok(HeartbeatResponse { token, orders })
     }
--- a/src/core/scheduler/orders.rs
+++ b/src/core/scheduler/orders.rs
@@ -138,11 +138,23 @@
         let request = self.last_request;
         machine.orders_in_flight = Some(request);
         self.orders.insert(request, SentOrders { machine: id.clone(), runs });
+        debug!("machine {id}: orders sent, request={request} token={token} orders={}", describe_orders(&orders));
         let body = DirectOrders { token, agent_epoch: machine.agent_epoch, orders };
         self.effects.push(Effect::Orders { request, endpoint: machine.endpoint.clone(), body });
     }
 }
 
+/// The orders of a message for the log.
+pub(super) fn describe_orders(orders: &[Order]) -> String {
+    let describe = |order: &Order| match order {
+        Order::Run { task, attempt } => format!("run {task} attempt={attempt}"),
+        Order::Stop { task, attempt, leeway_s } => format!("stop {task} attempt={attempt} leeway_s={leeway_s}"),
+        Order::Clear { task, attempt } => format!("clear {task} attempt={attempt}"),
+    };
+    let described: Vec<String> = orders.iter().map(describe).collect();
+    format!("[{}]", described.join(", "))
+}
+
 /// The task attempts that the run orders in `orders` start, in the same sequence.
 fn runs_in(orders: &[Order]) -> Vec<TaskAttempt> {
     let run = |order: &Order| match order {
