--- a/src/core/election_simulation/controllers.rs
+++ b/src/core/election_simulation/controllers.rs
@@ -116,6 +116,7 @@
             Some(end) => {
                 *end = (*end).max(now + LEADER_LEASE_TTL_MS);
                 controller.election.renewed(requested_at);
+                self.copy_late(RequestCopy::Renewal { lease: lease.0 });
             }
             None => controller.election.step_down(),
         }
@@ -132,19 +133,21 @@
         match self.leader_key {
             // The leader's key belongs to an earlier process of this controller, whose lease is therefore revoked.
             Some(LeaderKey { controller: holder, lease }) if holder == index => {
-                self.leases.remove(&lease);
-                self.leader_key = None;
-                self.revision += 1;
+                self.revoke(lease);
+                self.copy_late(RequestCopy::Revocation { lease });
             }
             Some(_) => {}
             None if controller.election.can_stand_for_election(controller.clock(now), self.revision > 1) => {
                 self.revision += 1;
                 let lease = self.revision;
                 self.leases.insert(lease, now + LEADER_LEASE_TTL_MS);
-                self.leader_key = Some(LeaderKey { controller: index, lease });
+                self.election_count += 1;
+                let key = LeaderKey { controller: index, lease };
+                self.leader_key = Some(key);
                 controller.election.elected(Term(lease), LeaseId(lease), requested_at);
                 controller.is_loaded = false;
                 controller.next_read_at = now + 200;
+                self.copy_late(RequestCopy::Candidacy(key));
             }
             None => {}
         }
--- a/src/core/election_simulation/mail.rs
+++ b/src/core/election_simulation/mail.rs
@@ -39,6 +39,7 @@
             let (term, read_through) = (leader_lease.term, leader_lease.read_through);
             let pledge = follower.election.pledge_to(clock, term, read_through, &follower.cancellations);
             let arrives = !lost && self.now >= follower.frozen_until;
+            self.copy_late(RequestCopy::PledgeRequest { peer, term, read_through });
             pledges.push(pledge.ok().filter(|_| arrives).map(|pledge| (pledge.duration, pledge.cancelled)));
         }
         let due_at = self.now + self.rng.random_range(1..700);
--- a/src/core/election_simulation/mod.rs
+++ b/src/core/election_simulation/mod.rs
@@ -8,6 +8,7 @@
 
 mod checks;
 mod controllers;
+mod copies;
 mod faults;
 mod mail;
 mod store;
@@ -15,6 +16,7 @@
 mod workers;
 
 use self::controllers::Controller;
+use self::copies::RequestCopy;
 use self::mail::{CancellationAnswer, PledgeAnswer};
 use self::workers::Worker;
 use super::cancellations::ConfirmedCancellations;
@@ -63,8 +65,14 @@
     /// The jobs whose cancellation was confirmed to a user, each with the simulated time of the first confirmation.
     confirmed: BTreeMap<JobId, u64>,
     pledge_answers: Vec<PledgeAnswer>,
+    /// Probability that a copy of a request to the store or to a peer arrives late.
+    copy_probability: f64,
+    /// The copies that will arrive, each with the simulated time when it does.
+    copies: Vec<(u64, RequestCopy)>,
     /// How many times a leader extended its lease because all peers had pledged not to stand for election.
     extension_count: u64,
+    /// Number of elections that a controller has won.
+    election_count: u64,
     /// Number of cancellations that a leader learned from its peers' pledges and had not read from the store before.
     learned_from_pledges_count: u64,
     /// The highest term in which a controller was allowed to act as leader.
@@ -88,7 +96,10 @@
             cancellation_answers: Vec::new(),
             confirmed: BTreeMap::new(),
             pledge_answers: Vec::new(),
+            copy_probability: 0.0,
+            copies: Vec::new(),
             extension_count: 0,
+            election_count: 0,
             learned_from_pledges_count: 0,
             last_active_term: 0,
         }
@@ -105,6 +116,7 @@
                 self.cancel_as_user();
             }
             self.deliver_answers();
+            self.deliver_copies();
             self.step_controllers();
             self.step_workers();
             self.check_invariants();
--- a/src/core/election_simulation/store.rs
+++ b/src/core/election_simulation/store.rs
@@ -18,6 +18,15 @@
         }
     }
 
+    /// Ends a lease before its time, which deletes the leader's key if that is attached to the lease.
+    pub(super) fn revoke(&mut self, lease: u64) {
+        self.leases.remove(&lease);
+        if self.leader_key.is_some_and(|key| key.lease == lease) {
+            self.leader_key = None;
+            self.revision += 1;
+        }
+    }
+
     /// Cancels the job unless it is cancelled already. Returns the revision of the cancellation.
     pub(super) fn commit_cancellation(&mut self, job: JobId) -> u64 {
         if let Some(revision) = self.cancelled.get(&job) {
--- a/src/core/election_simulation/tests.rs
+++ b/src/core/election_simulation/tests.rs
@@ -6,6 +6,8 @@
 fn election_simulation_has_one_active_term_and_cancelled_tasks_end_in_time() {
     let (mut extended, mut learned, mut confirmed) = (0, 0, 0);
     for seed in 0..200 {
+        // Shown only if the test fails.
+        println!("seed {seed}");
         let mut simulation = ElectionSimulation::new(seed);
         simulation.run(100);
         extended += simulation.extension_count;
@@ -19,3 +21,18 @@
         "extended={extended} learned={learned} confirmed={confirmed}"
     );
 }
+
+#[test]
+fn election_simulation_has_one_active_term_when_copies_of_requests_arrive_late() {
+    let (mut leaders, mut extended) = (0, 0);
+    for seed in 1_000..1_100 {
+        // Shown only if the test fails.
+        println!("seed {seed}");
+        let mut simulation = ElectionSimulation::new(seed);
+        simulation.copy_probability = 0.3;
+        simulation.run(100);
+        leaders += simulation.election_count;
+        extended += simulation.extension_count;
+    }
+    assert!(leaders > 200 && extended > 300, "leaders={leaders} extended={extended}");
+}
--- a/src/core/scheduler/tests/copies.rs
+++ b/src/core/scheduler/tests/copies.rs
@@ -119,3 +119,38 @@
     let token = harness.workers["w0"].token;
     assert!(token < FencingToken::new(Term(harness.scheduler.fence_revision().0 + 1), 0), "below any later leader's");
 }
+
+#[test]
+fn copy_of_a_machine_record_only_delays_the_next_leader() {
+    let mut harness = SchedulerHarness::new(1);
+    let registration = {
+        let mut heartbeat = SchedulerHarness::idle_heartbeat(1);
+        heartbeat.sequence = SequenceNumber(1);
+        harness.workers.insert("w1".into(), heartbeat);
+        harness.run(3_000);
+        let key = machine_key("m-000001");
+        let is_registration = |transaction: &&Transaction| {
+            transaction
+                .mutations
+                .iter()
+                .any(|mutation| matches!(mutation, Mutation::Put { key: put, .. } if *put == key))
+        };
+        harness.committed.iter().find(is_registration).expect("m-000001 is registered").clone()
+    };
+    harness.workers.remove("w1");
+    harness.run(15_000);
+    assert!(harness.terminated.contains("m-000001"));
+    assert!(!harness.store.contains_key(&machine_key("m-000001")), "the record is deleted");
+    harness.commit(registration);
+    harness.terminated.clear();
+    let job = harness.submit(200, spec("req-000001", JobKind::Array, 1, 8.0));
+    harness.change_leader();
+    harness.run(20_000);
+    assert!(harness.terminated.contains("m-000001"), "the machine that isn't there is terminated again");
+    assert!(!harness.store.contains_key(&machine_key("m-000001")));
+    assert_eq!(harness.running_count(&job), 1, "the job runs");
+}
+
+fn machine_key(name: &str) -> String {
+    format!("{MACHINE_PREFIX}{name}")
+}
--- a/src/core/simulation/effects.rs
+++ b/src/core/simulation/effects.rs
@@ -1,6 +1,7 @@
 //! Carries out the effects that the leader requests: sends messages to the workers and the store, and requests to the
 //! cloud and the peers.
 
+use super::copies::RequestCopy;
 use super::*;
 use crate::ids::RequestId;
 
@@ -35,12 +36,19 @@
             Effect::Provision(request) => {
                 let outcome =
                     if self.draw_message_loss() { ProvisionOutcome::Unknown } else { self.provision(&request) };
+                self.copy_late(self.copy_probability, RequestCopy::Provision(request.clone()));
                 self.send(200, Message::Provisioned { leader, name: request.name, outcome });
             }
             Effect::Terminate(ids) => {
                 let ok = !self.draw_message_loss();
                 let names: Vec<String> = ids.iter().map(|id| id.to_string()).collect();
-                names.iter().for_each(|name| self.terminate(name));
+                // The cloud may refuse a request of which a copy is carried out later.
+                let refused = self.copy_probability > 0.0 && self.chance(self.copy_probability);
+                let ok = ok && !refused;
+                if !refused {
+                    names.iter().for_each(|name| self.terminate(name));
+                }
+                self.copy_late(self.copy_probability, RequestCopy::Terminate(names.clone()));
                 self.send(200, Message::Terminated { leader, names, ok });
             }
         }
--- a/src/core/simulation/mail.rs
+++ b/src/core/simulation/mail.rs
@@ -1,13 +1,11 @@
 //! Messages in transit, and their delivery.
 
+use super::copies::RequestCopy;
 use super::effects::ORDERS_TIMEOUT_MS;
 use super::workers::HEARTBEAT_TIMEOUT_MS;
 use super::*;
 use crate::ids::RequestId;
 
-/// Upper bound of the time after which a copy of delivered orders arrives.
-const MAX_COPY_DELAY_MS: u64 = 60_000;
-
 /// A message in transit. The field `leader` is the number of the leader that sent the message or that the message is
 /// addressed to.
 pub(super) enum Message {
@@ -26,11 +24,8 @@
         worker: usize,
         body: DirectOrders,
     },
-    /// A copy of orders that were delivered before. Nobody awaits the worker's answer.
-    OrdersCopy {
-        worker: usize,
-        body: DirectOrders,
-    },
+    /// A copy of a request that was delivered before. Nobody awaits the answer.
+    Copy(RequestCopy),
     OrdersResult {
         leader: u64,
         request: RequestId,
@@ -112,7 +107,7 @@
                 self.deliver_heartbeat_response(worker, sent_at, agent_epoch, &response);
             }
             Message::Orders { leader, request, worker, body } => self.deliver_orders(leader, request, worker, body),
-            Message::OrdersCopy { worker, body } => self.deliver_orders_copy(worker, body),
+            Message::Copy(request) => self.deliver_copy(request),
             Message::Commit { leader, request, transaction } => self.deliver_commit(leader, request, &transaction),
             Message::FenceRefresh { leader, transaction } => self.deliver_fence_refresh(leader, transaction),
             Message::ReadLeaderKey { leader, transaction } => self.deliver_leader_key_read(leader, &transaction),
@@ -201,7 +196,7 @@
             return;
         }
         let accepted = self.accept_orders(index, &body);
-        self.copy_orders(index, body);
+        self.copy_late(self.copy_probability, RequestCopy::Orders { worker: index, body });
         let heartbeat = self.next_heartbeat(index);
         if self.draw_message_loss() {
             self.send(ORDERS_TIMEOUT_MS, timed_out);
@@ -218,7 +213,7 @@
 
     /// Delivers direct orders to a worker, which executes them if their token and agent epoch permit it. Returns
     /// whether the worker has executed them.
-    fn accept_orders(&mut self, index: usize, body: &DirectOrders) -> bool {
+    pub(super) fn accept_orders(&mut self, index: usize, body: &DirectOrders) -> bool {
         let worker = &mut self.workers[index];
         if body.token.0 < worker.token || body.agent_epoch.0 != worker.agent_epoch {
             return false;
@@ -228,38 +223,22 @@
         true
     }
 
-    /// Draws whether a copy of delivered orders arrives again later.
-    fn copy_orders(&mut self, worker: usize, body: DirectOrders) {
-        if self.orders_copy_probability > 0.0 && self.faults_enabled && self.chance(self.orders_copy_probability) {
-            let delay = self.rng.random_range(1..MAX_COPY_DELAY_MS);
-            self.send(delay, Message::OrdersCopy { worker, body });
-        }
-    }
-
-    fn deliver_orders_copy(&mut self, index: usize, body: DirectOrders) {
-        let worker = &self.workers[index];
-        if worker.is_gone || self.now < worker.inbound_partitioned_until {
-            return;
-        }
-        let held_until = worker.frozen_until.max(worker.partitioned_until);
-        if self.now < held_until {
-            self.send(held_until - self.now + 10, Message::OrdersCopy { worker: index, body });
-            return;
-        }
-        self.accept_orders(index, &body);
-        // Copies come again and again, so that an attempt meets them in all its states.
-        self.copy_orders(index, body);
-    }
-
     fn deliver_commit(&mut self, leader: u64, request: RequestId, transaction: &Transaction) {
         let outcome = self.commit(transaction);
+        if outcome == CommitOutcome::Committed {
+            self.copy_commit_late(transaction);
+        }
         let outcome = if self.draw_message_loss() { CommitOutcome::Unknown } else { outcome };
         let delay = self.rng.random_range(1..20);
         self.send(delay, Message::Committed { leader, request, outcome });
     }
 
     fn deliver_fence_refresh(&mut self, leader: u64, transaction: Transaction) {
-        if self.commit(&transaction) == CommitOutcome::Committed && !self.faults_enabled {
+        let committed = self.commit(&transaction) == CommitOutcome::Committed;
+        if committed {
+            self.copy_commit_late(&transaction);
+        }
+        if committed && !self.faults_enabled {
             let (now, revision) = (MonotonicTime(self.now), Revision(self.revision));
             if let Some(scheduler) = self.leader_with_number(leader) {
                 scheduler.on_fence_refreshed(now, Some(revision));
@@ -312,7 +291,7 @@
             | Message::RelayBatch(_)
             | Message::HeartbeatResponse { .. }
             | Message::Orders { .. }
-            | Message::OrdersCopy { .. }
+            | Message::Copy(_)
             | Message::Commit { .. }
             | Message::FenceRefresh { .. }
             | Message::ReadLeaderKey { .. } => unreachable!("not addressed to a leader by its number"),
@@ -336,7 +315,7 @@
             | Message::RelayBatch(_)
             | Message::HeartbeatResponse { .. }
             | Message::Orders { .. }
-            | Message::OrdersCopy { .. }
+            | Message::Copy(_)
             | Message::Commit { .. }
             | Message::FenceRefresh { .. }
             | Message::ReadLeaderKey { .. } => None,
--- a/src/core/simulation/mod.rs
+++ b/src/core/simulation/mod.rs
@@ -7,6 +7,7 @@
 
 mod checks;
 mod cloud;
+mod copies;
 pub(super) mod digest;
 mod effects;
 mod faults;
@@ -93,9 +94,12 @@
     dependency_probability: f64,
     /// Probability that a heartbeat reaches the leader through a controller that relays it.
     relay_probability: f64,
-    /// Probability that a copy of orders that are delivered to a worker is delivered again, up to [`MAX_COPY_DELAY_MS`]
-    /// later.
-    orders_copy_probability: f64,
+    /// Probability that a copy of orders to a worker or of a request to the cloud is delivered late.
+    copy_probability: f64,
+    /// Probability that a copy of a committed transaction is delivered late, except for writes of completion bitmaps.
+    commit_copy_probability: f64,
+    /// Probability that a copy of a committed write of completion bitmaps is delivered late.
+    bitmap_copy_probability: f64,
     /// The attempts that have started on each worker, by the worker's index.
     started_attempts: BTreeSet<(usize, TaskId, Attempt)>,
     /// Upper bound of the delay added to that of ordinary messages while faults are enabled.
@@ -154,7 +158,9 @@
             cancellation_probability: 0.01,
             dependency_probability: 0.2,
             relay_probability: 0.5,
-            orders_copy_probability: 0.0,
+            copy_probability: 0.0,
+            commit_copy_probability: 0.0,
+            bitmap_copy_probability: 0.0,
             started_attempts: BTreeSet::new(),
             max_extra_delay: 0,
             last_job_number: 0,
--- a/src/core/simulation/tests.rs
+++ b/src/core/simulation/tests.rs
@@ -9,6 +9,8 @@
 fn run(seeds: Range<u64>, configure: impl Fn(&mut Simulation)) -> (u64, u64) {
     let (mut start_count, mut leader_count) = (0, 0);
     for seed in seeds {
+        // Shown only if the test fails.
+        println!("seed {seed}");
         let mut simulation = Simulation::new(seed);
         configure(&mut simulation);
         simulation.run(120, 0);
@@ -63,9 +65,23 @@
 }
 
 #[test]
-fn invariants_hold_when_copies_of_orders_arrive_late() {
+fn invariants_hold_when_copies_of_commits_arrive_late() {
+    let (start_count, leader_count) = run(1_000..1_020, |simulation| simulation.commit_copy_probability = 0.5);
+    assert!(start_count > 1_000 && leader_count > 40, "starts={start_count} leaders={leader_count}");
+}
+
+#[test]
+fn invariants_hold_when_copies_of_bitmap_writes_arrive_late() {
+    // Guards against a copy of a carried-out write that replaces a newer completion bitmap, after workers were told to
+    // clear the tasks that only the newer one has.
+    let (start_count, leader_count) = run(1_100..1_120, |simulation| simulation.bitmap_copy_probability = 0.3);
+    assert!(start_count > 1_000 && leader_count > 40, "starts={start_count} leaders={leader_count}");
+}
+
+#[test]
+fn invariants_hold_when_copies_of_orders_and_cloud_requests_arrive_late() {
     // Guards against a copy of a carried-out run order that starts a cleared task anew (docs/incidents/late-copies.md).
-    let (start_count, leader_count) = run(900..940, |simulation| simulation.orders_copy_probability = 0.6);
+    let (start_count, leader_count) = run(900..940, |simulation| simulation.copy_probability = 0.6);
     assert!(start_count > 2_000 && leader_count > 80, "starts={start_count} leaders={leader_count}");
 }
 
