Guard bitmap writes by a key that they change, so that copies of them are refused

What callers saw: nothing yet. A late copy of a carried-out bitmap write replaced a newer bitmap, after workers had been told to clear the tasks that only the newer one has ("clear follows the durable done bit" was broken; no rule of PROTOCOL). A transaction is safe from copies if it changes what it is guarded by; bitmap writes were guarded by the fence revision alone, which an answered write leaves as it is. Fix: each bitmap write rewrites `ctl/bitmaps` and is guarded by its revision. The leader knows it from the last answer or from a refresh of the fence revision, which rewrites the key as well; so a term's first bitmap write follows a refresh, and after a write without an answer nothing new is needed. One bitmap write is in flight at a time. Results of commits carry their revision. Changed tests: a refresh takes two tokens of the rate, for two mutations (tests renamed, the waiting one also checks that one is too few); the test of an unanswered bitmap write begins after the term's first, with the same checks. Digests are recorded anew, as transactions are meant to change.

--- a/benches/support/fleet.rs
+++ b/benches/support/fleet.rs
@@ -129,16 +129,19 @@
             }
             Effect::Commit { request, .. } => {
                 self.commits += 1;
-                self.observe(Input::EffectResult, |scheduler| {
-                    scheduler.on_committed(now, request, CommitOutcome::Committed)
-                });
+                let outcome = CommitOutcome::Committed(Revision(self.commits));
+                self.observe(Input::EffectResult, |scheduler| scheduler.on_committed(now, request, outcome));
             }
             Effect::Provision(request) => {
                 self.observe(Input::EffectResult, |scheduler| {
                     scheduler.on_provisioned(now, &request.name, ProvisionOutcome::NoCapacity)
                 });
             }
-            Effect::Terminate(_) | Effect::Plan { .. } | Effect::RefreshFence(_) | Effect::LookUpOutcomes(_) => {}
+            Effect::RefreshFence(_) => {
+                let revision = Revision(self.scheduler.fence_revision().0 + 1);
+                self.observe(Input::EffectResult, |scheduler| scheduler.on_fence_refreshed(now, Some(revision)));
+            }
+            Effect::Terminate(_) | Effect::Plan { .. } | Effect::LookUpOutcomes(_) => {}
         }
     }
 
--- a/src/core/records.rs
+++ b/src/core/records.rs
@@ -16,6 +16,9 @@
 pub const TERMINAL_PREFIX: &str = "over/";
 /// Key prefix of the chunks of completion bitmaps, which are stored under `bits/ID/CHUNK`.
 pub const BITMAP_PREFIX: &str = "bits/";
+/// Key that is written along with each write of completion bitmaps. Such a write is conditional on the key's revision,
+/// so a copy of it that arrives late fails and can't replace a newer bitmap. The value has no meaning.
+pub const BITMAP_SEQUENCE_KEY: &str = "ctl/bitmaps";
 
 /// The key of a live job's [`LiveRecord`].
 pub fn live_key(id: &JobId) -> String {
--- a/src/core/scheduler/effects.rs
+++ b/src/core/scheduler/effects.rs
@@ -1,6 +1,6 @@
 //! Effects: the operations that the scheduler requests from the I/O code around it, and their results.
 
-use crate::ids::{JobId, MachineId, RequestId};
+use crate::ids::{JobId, MachineId, RequestId, Revision};
 use crate::peer::PlanInput;
 use crate::wire::{DirectOrders, Heartbeat, ProvisionRequest, Transaction};
 use std::sync::Arc;
@@ -58,8 +58,8 @@
 /// Result of an [`Effect::Commit`].
 #[derive(Clone, Debug, PartialEq)]
 pub enum CommitOutcome {
-    /// All mutations were applied.
-    Committed,
+    /// All mutations were applied, in a transaction of this revision.
+    Committed(Revision),
     /// Nothing was applied: the preconditions on these keys didn't hold.
     Conflict(Vec<String>),
     /// The store refused the transaction: nothing was applied, nor will it be.
@@ -69,6 +69,11 @@
 }
 
 impl CommitOutcome {
+    /// Whether all mutations were applied.
+    pub fn is_committed(&self) -> bool {
+        matches!(self, CommitOutcome::Committed(_))
+    }
+
     /// Whether the transaction failed because the precondition on this key didn't hold.
     pub fn conflicts_on(&self, key: &str) -> bool {
         matches!(self, CommitOutcome::Conflict(failed) if failed.iter().any(|failed| failed == key))
--- a/src/core/scheduler/tests.rs
+++ b/src/core/scheduler/tests.rs
@@ -318,7 +318,8 @@
                 }
                 None => {
                     self.commit(transaction);
-                    self.scheduler.on_committed(now, request, CommitOutcome::Committed);
+                    let outcome = CommitOutcome::Committed(Revision(self.term.0 + 1));
+                    self.scheduler.on_committed(now, request, outcome);
                 }
             },
             Effect::RefreshFence(_) => {
--- a/src/core/scheduler/tests/digest.rs
+++ b/src/core/scheduler/tests/digest.rs
@@ -292,7 +292,7 @@
         let outcome = match self.effect_counts.commits % 40 {
             10 => CommitOutcome::Unknown,
             30 => return CommitOutcome::Rejected,
-            _ => CommitOutcome::Committed,
+            _ => CommitOutcome::Committed(Revision(self.revision)),
         };
         for mutation in &transaction.mutations {
             if let Mutation::Put { key: written_key, value, .. } = mutation
@@ -341,9 +341,9 @@
     println!("digest={:#018x} counts={counts:?} {operations}", fleet.digest.value());
     println!("ended_jobs={} workers={}", fleet.outcomes.len(), fleet.workers.iter().flatten().count());
     let expected_operations =
-        OperationCounts { jobs: 44_083, machines: 718_359, tasks: 292_053, reservations: 642, comparisons: 83_142 };
+        OperationCounts { jobs: 44_616, machines: 706_809, tasks: 278_538, reservations: 1_014, comparisons: 82_285 };
     // Expected numbers of outputs of each kind, in the order of `Digest::counts`.
-    assert_eq!(counts, [3421, 281, 7, 89, 33, 32, 554, 512, 13242, 0]);
+    assert_eq!(counts, [3456, 273, 8, 64, 32, 32, 549, 507, 13134, 0]);
     assert_eq!(operations, expected_operations);
-    assert_eq!(fleet.digest.value(), 0x7373_3b57_5001_de92);
+    assert_eq!(fleet.digest.value(), 0x5864_6d1d_3339_b93d);
 }
--- a/src/core/scheduler/tests/leaders.rs
+++ b/src/core/scheduler/tests/leaders.rs
@@ -22,9 +22,13 @@
 fn write_queue_refreshes_the_fence_after_an_unanswered_write() {
     let mut harness = SchedulerHarness::new(1);
     harness.run(2_000);
-    harness.unanswered_transactions = Some(Vec::new());
-    let id = harness.submit(200, spec("req-000001", JobKind::Array, 2, 1.0));
+    let id = harness.submit(200, spec("req-000001", JobKind::Array, 3, 1.0));
     harness.run(1_000);
+    // The first bitmap write of a term follows a refresh of the fence revision.
+    harness.finish_first_task("w0");
+    harness.run(4_000);
+    assert!(!harness.workers["w0"].tasks.iter().any(TaskStatus::is_done));
+    harness.unanswered_transactions = Some(Vec::new());
     harness.finish_first_task("w0");
     harness.run(4_000);
     let unanswered = harness.unanswered_transactions.take().unwrap();
--- a/src/core/scheduler/writes.rs
+++ b/src/core/scheduler/writes.rs
@@ -13,7 +13,9 @@
 use super::{Effect, Scheduler};
 use crate::core::election::LEADER_KEY;
 use crate::core::machine::{MachineRecord, Registration, machine_key};
-use crate::core::records::{MUTATIONS_PER_TERMINATION, TerminalRecord, live_precondition, termination_mutations};
+use crate::core::records::{
+    BITMAP_SEQUENCE_KEY, MUTATIONS_PER_TERMINATION, TerminalRecord, live_precondition, termination_mutations,
+};
 use crate::core::shards::SHARDS_KEY;
 use crate::ids::{JobId, MachineId};
 use crate::time::{Millis, MonotonicTime, WallTime};
@@ -62,7 +64,7 @@
     }
 
     /// Rewrites the leader's key under the same store lease. The key's new revision becomes the fence revision, on
-    /// which all later writes are conditional.
+    /// which all later writes are conditional. [`BITMAP_SEQUENCE_KEY`] gets the same revision.
     fn refresh_fence(&mut self) {
         if !self.writes.start_fence_refresh() {
             return;
@@ -71,7 +73,7 @@
         let put = Mutation::Put { key: LEADER_KEY.into(), value, lease: Some(self.record.lease.0) };
         self.effects.push(Effect::RefreshFence(Transaction {
             preconditions: vec![self.writes.fence_precondition()],
-            mutations: vec![put],
+            mutations: vec![put, self.bitmap_sequence_mutation()],
         }));
     }
 
@@ -165,17 +167,28 @@
         if changed.is_empty() || self.writes.since_bitmap_write(now) < interval || !self.writes.has_tokens(2.0) {
             return false;
         }
+        if !self.writes.is_bitmap_sequence_known() {
+            self.writes.request_fence_refresh();
+        }
+        let Some(precondition) = self.writes.bitmap_precondition() else { return false };
         self.writes.record_bitmap_write(now);
-        let (bitmaps, mutations) = self.start_bitmap_writes(changed);
-        self.commit(WritePurpose::CompletionBitmaps(bitmaps), Vec::new(), mutations);
+        let (bitmaps, mut mutations) = self.start_bitmap_writes(changed);
+        mutations.push(self.bitmap_sequence_mutation());
+        self.commit(WritePurpose::CompletionBitmaps(bitmaps), vec![precondition], mutations);
         true
     }
 
+    /// Gives [`BITMAP_SEQUENCE_KEY`] a new revision.
+    fn bitmap_sequence_mutation(&self) -> Mutation {
+        Mutation::put(BITMAP_SEQUENCE_KEY, serde_json::json!(self.term))
+    }
+
     /// Starts the bitmap writes of as many of these jobs as fit in a transaction. Returns for each of them the tasks
     /// that will be durably done, and the mutations that store the changed chunks. If the first job alone has too many
     /// changed chunks, only the first of that job's changed chunks are written.
     fn start_bitmap_writes(&mut self, changed: Vec<JobId>) -> (Vec<(JobId, FixedBitSet)>, Vec<Mutation>) {
-        let max_mutations = self.limits.txn_ops.min(self.writes.whole_tokens());
+        // One of the transaction's mutations is that of the sequence key.
+        let max_mutations = self.limits.txn_ops.min(self.writes.whole_tokens()).saturating_sub(1).max(1);
         let mut mutations = Vec::new();
         let mut bitmaps = Vec::new();
         for id in changed {
--- a/src/core/scheduler/writes/queue.rs
+++ b/src/core/scheduler/writes/queue.rs
@@ -2,6 +2,7 @@
 //! fence revision on which all transactions are conditional.
 
 use crate::core::election::LEADER_KEY;
+use crate::core::records::BITMAP_SEQUENCE_KEY;
 use crate::core::scheduler::CommitOutcome;
 use crate::ids::{JobId, MachineId, RequestId, Revision, Term};
 use crate::time::{Millis, MonotonicTime, WallTime};
@@ -15,6 +16,9 @@
 /// Delay before the next write after the store has refused a write or left it unanswered.
 const FAILED_WRITE_BACKOFF: Millis = Millis(300);
 
+/// Number of mutations of a refresh of the fence revision: the leader's key and [`BITMAP_SEQUENCE_KEY`].
+const FENCE_REFRESH_MUTATIONS: f64 = 2.0;
+
 /// Low-priority writes are sent only while at least this fraction of the rate limit is unused.
 const SPARE_RATE_THRESHOLD: f64 = 0.7;
 
@@ -67,6 +71,9 @@
     /// leader's key is rewritten, which makes every write that is conditional on the key's older revision fail.
     fence_revision: Revision,
     fence_refresh: FenceRefresh,
+    /// The revision of [`BITMAP_SEQUENCE_KEY`], on which the next write of completion bitmaps is conditional. `None` if
+    /// it isn't known; a refresh of the fence revision makes it known.
+    bitmap_sequence: Option<Revision>,
     in_flight: HashMap<RequestId, PendingWrite>,
     /// Machines whose record has to be deleted.
     machines_to_delete: BTreeSet<MachineId>,
@@ -90,6 +97,7 @@
         WriteQueue {
             fence_revision: Revision(term.0),
             fence_refresh: FenceRefresh::Idle,
+            bitmap_sequence: None,
             in_flight: HashMap::new(),
             machines_to_delete: BTreeSet::new(),
             orphaned_bitmaps: Vec::new(),
@@ -112,6 +120,20 @@
         Precondition { key: LEADER_KEY.into(), revision: self.fence_revision.0 }
     }
 
+    /// The precondition of the next write of completion bitmaps, which changes the key and so makes a late copy of
+    /// itself fail. `None` if the key's revision isn't known or another such write is in flight.
+    pub(super) fn bitmap_precondition(&self) -> Option<Precondition> {
+        if self.is_in_flight(|purpose| matches!(purpose, WritePurpose::CompletionBitmaps(_))) {
+            return None;
+        }
+        Some(Precondition { key: BITMAP_SEQUENCE_KEY.into(), revision: self.bitmap_sequence?.0 })
+    }
+
+    /// Whether the revision of [`BITMAP_SEQUENCE_KEY`] is known.
+    pub(super) fn is_bitmap_sequence_known(&self) -> bool {
+        self.bitmap_sequence.is_some()
+    }
+
     /// Number of transactions in flight.
     pub(in crate::core::scheduler) fn in_flight(&self) -> usize {
         self.in_flight.len()
@@ -182,9 +204,21 @@
         {
             self.request_fence_refresh();
         }
+        // A refresh of the fence revision since the write was sent has changed the key after the write.
+        if matches!(write.purpose, WritePurpose::CompletionBitmaps(_)) && write.fence_revision == self.fence_revision {
+            self.update_bitmap_sequence(result);
+        }
         Some(write.purpose)
     }
 
+    fn update_bitmap_sequence(&mut self, result: &CommitOutcome) {
+        match result {
+            CommitOutcome::Committed(revision) => self.bitmap_sequence = Some(*revision),
+            CommitOutcome::Conflict(_) | CommitOutcome::Unknown => self.bitmap_sequence = None,
+            CommitOutcome::Rejected => {}
+        }
+    }
+
     /// Makes a refresh of the fence revision due, unless one is due or in flight already.
     pub(in crate::core::scheduler) fn request_fence_refresh(&mut self) {
         if self.fence_refresh == FenceRefresh::Idle {
@@ -200,11 +234,11 @@
     /// Starts the refresh of the fence revision. Returns `false` if no refresh is due, one is already in flight, or the
     /// rate limit doesn't allow it yet.
     pub(super) fn start_fence_refresh(&mut self) -> bool {
-        if self.fence_refresh != FenceRefresh::Due || !self.has_tokens(1.0) {
+        if self.fence_refresh != FenceRefresh::Due || !self.has_tokens(FENCE_REFRESH_MUTATIONS) {
             return false;
         }
         self.fence_refresh = FenceRefresh::InFlight;
-        self.tokens -= 1.0;
+        self.tokens -= FENCE_REFRESH_MUTATIONS;
         true
     }
 
@@ -215,6 +249,7 @@
         match revision.filter(|revision| *revision > self.fence_revision) {
             Some(revision) => {
                 self.fence_revision = revision;
+                self.bitmap_sequence = Some(revision);
                 self.fence_refresh = FenceRefresh::Idle;
                 true
             }
--- a/src/core/scheduler/writes/results.rs
+++ b/src/core/scheduler/writes/results.rs
@@ -24,7 +24,7 @@
     pub fn on_committed(&mut self, now: MonotonicTime, request: RequestId, result: CommitOutcome) {
         let Some(purpose) = self.writes.finish(now, request, &result) else { return };
         self.rounds.request();
-        let committed = result == CommitOutcome::Committed;
+        let committed = result.is_committed();
         match purpose {
             WritePurpose::Machines { register, delete } => self.on_machines_written(register, &delete, &result),
             WritePurpose::CompletionBitmaps(jobs) => self.on_completion_bitmaps_written(jobs, committed),
@@ -38,7 +38,7 @@
     }
 
     fn on_machines_written(&mut self, register: Vec<MachineId>, delete: &[MachineId], result: &CommitOutcome) {
-        let committed = *result == CommitOutcome::Committed;
+        let committed = result.is_committed();
         for id in register {
             if let Some(machine) = self.machines.known.get_mut(&id) {
                 machine.registration = if committed { Registration::Registered } else { Registration::Unregistered };
@@ -63,7 +63,7 @@
 
     fn on_finish_written(&mut self, id: &JobId, at: WallTime, result: &CommitOutcome) {
         match result {
-            CommitOutcome::Committed => {
+            CommitOutcome::Committed(_) => {
                 info!("job done: job={id}");
                 self.on_job_terminated(id, JobOutcome::Done(Some(at)));
             }
@@ -80,7 +80,7 @@
 
     fn on_cancellations_written(&mut self, ids: &[JobId], result: &CommitOutcome) {
         match result {
-            CommitOutcome::Committed => {
+            CommitOutcome::Committed(_) => {
                 for id in ids {
                     info!("job cancelled with a dependency: job={id}");
                     self.on_job_terminated(id, JobOutcome::Cancelled);
--- a/src/core/scheduler/writes/tests.rs
+++ b/src/core/scheduler/writes/tests.rs
@@ -3,12 +3,14 @@
 use super::WriteQueue;
 use super::queue::WritePurpose;
 use crate::core::election::LEADER_KEY;
+use crate::core::records::BITMAP_SEQUENCE_KEY;
 use crate::core::scheduler::CommitOutcome;
 use crate::ids::{MachineId, RequestId, Revision, Term};
 use crate::time::{Millis, MonotonicTime};
 
 const START: MonotonicTime = MonotonicTime(1_000);
 const RATE: f64 = 10.0;
+const COMMITTED: CommitOutcome = CommitOutcome::Committed(Revision(9));
 
 fn queue() -> WriteQueue {
     WriteQueue::new(Term(7), RATE, START)
@@ -45,10 +47,10 @@
     assert!(queue.has_spare_rate());
     start(&mut queue, 1);
     assert!(!queue.has_spare_rate(), "a write is in flight");
-    queue.finish(START, RequestId(1), &CommitOutcome::Committed);
+    queue.finish(START, RequestId(1), &COMMITTED);
     assert!(queue.has_spare_rate(), "9 of 10 tokens are left");
     queue.start(RequestId(2), WritePurpose::ShardAssignment, 3);
-    queue.finish(START, RequestId(2), &CommitOutcome::Committed);
+    queue.finish(START, RequestId(2), &COMMITTED);
     assert!(!queue.has_spare_rate(), "6 of 10 tokens are left");
 }
 
@@ -61,7 +63,7 @@
     }
     assert!(!queue.may_send(START) && !queue.has_free_slot());
     assert_eq!(queue.in_flight(), 6);
-    assert!(queue.finish(START, RequestId(3), &CommitOutcome::Committed).is_some());
+    assert!(queue.finish(START, RequestId(3), &COMMITTED).is_some());
     assert!(queue.may_send(START));
 }
 
@@ -73,18 +75,15 @@
     assert!(!queue.is_in_flight(|purpose| matches!(purpose, WritePurpose::Machines { .. })));
     assert!(queue.finish(START, RequestId(5), &CommitOutcome::Unknown).is_none());
     assert!(queue.may_send(START) && !queue.needs_fence_refresh(), "an unknown request changes nothing");
-    assert!(matches!(
-        queue.finish(START, RequestId(4), &CommitOutcome::Committed),
-        Some(WritePurpose::DeleteBitmaps(_))
-    ));
-    assert!(queue.finish(START, RequestId(4), &CommitOutcome::Committed).is_none());
+    assert!(matches!(queue.finish(START, RequestId(4), &COMMITTED), Some(WritePurpose::DeleteBitmaps(_))));
+    assert!(queue.finish(START, RequestId(4), &COMMITTED).is_none());
 }
 
 #[test]
 fn results_decide_on_backoff_and_fence_refresh() {
     let conflict = |key: &str| CommitOutcome::Conflict(vec!["live/req-000001".into(), key.into()]);
     let cases = [
-        (CommitOutcome::Committed, false, false),
+        (COMMITTED, false, false),
         (conflict("live/req-000002"), false, false),
         (conflict(LEADER_KEY), false, true),
         (CommitOutcome::Rejected, true, false),
@@ -101,13 +100,13 @@
 }
 
 #[test]
-fn a_fence_refresh_starts_once_and_takes_a_token() {
+fn a_fence_refresh_starts_once_and_takes_two_tokens() {
     let mut queue = queue();
     assert!(!queue.start_fence_refresh(), "none is due");
-    queue.start(RequestId(1), WritePurpose::ShardAssignment, 9);
+    queue.start(RequestId(1), WritePurpose::ShardAssignment, 8);
     queue.finish(START, RequestId(1), &CommitOutcome::Unknown);
     assert!(queue.start_fence_refresh());
-    assert!(!queue.has_tokens(0.5), "the last token is taken");
+    assert!(!queue.has_tokens(0.5), "the last two tokens are taken, for two mutations");
     assert!(!queue.start_fence_refresh(), "it is in flight");
     assert!(queue.needs_fence_refresh());
 }
@@ -119,6 +118,8 @@
     queue.finish(START, RequestId(1), &CommitOutcome::Unknown);
     assert!(!queue.start_fence_refresh());
     queue.refill(after(100));
+    assert!(!queue.start_fence_refresh(), "one token is too few");
+    queue.refill(after(200));
     assert!(queue.start_fence_refresh());
 }
 
@@ -187,3 +188,53 @@
     queue.set_shards_unsaved();
     assert!(queue.shards_unsaved());
 }
+
+/// A queue whose fence revision was refreshed, so that the revision of the sequence key of bitmap writes is known.
+fn refreshed_queue() -> WriteQueue {
+    let mut queue = queue();
+    queue.request_fence_refresh();
+    assert!(queue.start_fence_refresh() && queue.on_fence_refreshed(START, Some(Revision(20))));
+    queue
+}
+
+fn start_bitmaps(queue: &mut WriteQueue, request: u64) {
+    queue.start(RequestId(request), WritePurpose::CompletionBitmaps(Vec::new()), 1);
+}
+
+#[test]
+fn bitmap_writes_are_sent_one_at_a_time_and_each_is_conditional_on_the_one_before() {
+    assert!(queue().bitmap_precondition().is_none(), "the key's revision isn't known before a refresh");
+    let mut queue = refreshed_queue();
+    assert_eq!(queue.bitmap_precondition().map(|precondition| precondition.revision), Some(20));
+    start_bitmaps(&mut queue, 1);
+    assert!(queue.bitmap_precondition().is_none(), "one is in flight");
+    queue.finish(START, RequestId(1), &CommitOutcome::Committed(Revision(25)));
+    assert_eq!(queue.bitmap_precondition().map(|precondition| precondition.revision), Some(25));
+}
+
+#[test]
+fn results_of_bitmap_writes_decide_on_the_sequence() {
+    let conflict = CommitOutcome::Conflict(vec![BITMAP_SEQUENCE_KEY.into()]);
+    let cases = [
+        (CommitOutcome::Committed(Revision(25)), Some(25)),
+        (CommitOutcome::Rejected, Some(20)),
+        (CommitOutcome::Unknown, None),
+        (conflict, None),
+    ];
+    for (result, revision) in cases {
+        let mut queue = refreshed_queue();
+        start_bitmaps(&mut queue, 1);
+        queue.finish(START, RequestId(1), &result);
+        assert_eq!(queue.bitmap_precondition().map(|precondition| precondition.revision), revision, "{result:?}");
+    }
+}
+
+#[test]
+fn a_bitmap_result_from_before_a_refresh_does_not_change_the_sequence() {
+    let mut queue = refreshed_queue();
+    start_bitmaps(&mut queue, 1);
+    queue.request_fence_refresh();
+    assert!(queue.start_fence_refresh() && queue.on_fence_refreshed(START, Some(Revision(30))));
+    queue.finish(START, RequestId(1), &CommitOutcome::Committed(Revision(25)));
+    assert_eq!(queue.bitmap_precondition().map(|precondition| precondition.revision), Some(30));
+}
--- a/src/core/simulation/digest.rs
+++ b/src/core/simulation/digest.rs
@@ -141,23 +141,23 @@
 /// The seed and the expected digest of each run. Each seed has a digest of its own, so that a failure shows which runs
 /// have changed.
 const EXPECTED_DIGESTS: [(u64, u64); 12] = [
-    (0, 0x74b1_b9c3_f534_db03),
-    (1, 0x28ac_c7a8_2818_a541),
-    (2, 0x1560_7fc8_5761_b5b0),
-    (3, 0xad4a_6c25_d63b_cda6),
-    (4, 0xd825_5c00_3096_fbe0),
-    (5, 0xff86_be6a_bf95_be24),
-    (6, 0x44c3_8627_621c_9e2e),
-    (7, 0x927f_6740_2bcf_0373),
-    (8, 0x4c2f_e8e1_15e6_9e52),
-    (9, 0xda3a_3cf4_9a31_8ed8),
-    (10, 0xaf87_5bf6_c41d_83fc),
-    (11, 0xa857_0173_8030_815e),
+    (0, 0x3b57_3e47_1b4a_d6b4),
+    (1, 0xb3ee_dac3_7f8b_7d12),
+    (2, 0xf909_a26c_1a30_83f1),
+    (3, 0xf125_86ba_cd7b_ac5c),
+    (4, 0xfb0b_eb25_e295_7bcb),
+    (5, 0x9639_257e_11ac_d5f7),
+    (6, 0x0ab5_c33a_457e_2ccd),
+    (7, 0x4209_bc5a_ede0_5949),
+    (8, 0xc00f_4ea7_ebab_ca72),
+    (9, 0xddce_6ae9_5d09_64a5),
+    (10, 0x41ea_3e32_fd8c_56a7),
+    (11, 0xd1f6_8b9e_7431_46d5),
 ];
 
 /// The expected number of outputs of each kind, summed over the runs of [`EXPECTED_DIGESTS`], in the order of
 /// [`Digest::counts`].
-const EXPECTED_COUNTS: [u64; TAG_COUNT] = [2188, 1277, 134, 512, 279, 40, 2432, 2357, 3833, 283];
+const EXPECTED_COUNTS: [u64; TAG_COUNT] = [2006, 1179, 132, 503, 269, 59, 2406, 2334, 3606, 261];
 
 /// Returns the digest of a run with more cancellations, dependencies and late commits than by default, and fewer leader
 /// crashes.
--- a/src/core/simulation/mail.rs
+++ b/src/core/simulation/mail.rs
@@ -225,7 +225,7 @@
 
     fn deliver_commit(&mut self, leader: u64, request: RequestId, transaction: &Transaction) {
         let outcome = self.commit(transaction);
-        if outcome == CommitOutcome::Committed {
+        if outcome.is_committed() {
             self.copy_commit_late(transaction);
         }
         let outcome = if self.draw_message_loss() { CommitOutcome::Unknown } else { outcome };
@@ -234,7 +234,7 @@
     }
 
     fn deliver_fence_refresh(&mut self, leader: u64, transaction: Transaction) {
-        let committed = self.commit(&transaction) == CommitOutcome::Committed;
+        let committed = self.commit(&transaction).is_committed();
         if committed {
             self.copy_commit_late(&transaction);
         }
--- a/src/core/simulation/store.rs
+++ b/src/core/simulation/store.rs
@@ -23,7 +23,7 @@
         for mutation in &transaction.mutations {
             self.apply(mutation);
         }
-        CommitOutcome::Committed
+        CommitOutcome::Committed(Revision(self.revision))
     }
 
     fn apply(&mut self, mutation: &Mutation) {
--- a/src/core/simulation/users.rs
+++ b/src/core/simulation/users.rs
@@ -87,7 +87,7 @@
         let preconditions = vec![Precondition { key: live_key(id), revision: *revision }];
         let mutations = vec![Mutation::delete(live_key(id)), Mutation::put(terminal_key(id), json!(record))];
         let cancelled_before = self.cancelled.insert(*id, self.now);
-        if self.commit(&Transaction { preconditions, mutations }) != CommitOutcome::Committed {
+        if !self.commit(&Transaction { preconditions, mutations }).is_committed() {
             match cancelled_before {
                 Some(at) => self.cancelled.insert(*id, at),
                 None => self.cancelled.remove(id),
--- a/src/net/leader_loop/effects.rs
+++ b/src/net/leader_loop/effects.rs
@@ -75,7 +75,7 @@
 impl From<Result<Revision, CommitError>> for CommitOutcome {
     fn from(result: Result<Revision, CommitError>) -> CommitOutcome {
         match result {
-            Ok(_) => CommitOutcome::Committed,
+            Ok(revision) => CommitOutcome::Committed(revision),
             Err(CommitError::Conflict(keys)) => CommitOutcome::Conflict(keys),
             Err(CommitError::Store(KvError::NoResponse(_) | KvError::TooLarge)) => CommitOutcome::Unknown,
             Err(CommitError::Store(KvError::Refused | KvError::Busy | KvError::Status(_))) => CommitOutcome::Rejected,
--- a/tests/golden/stored.rs
+++ b/tests/golden/stored.rs
@@ -10,8 +10,8 @@
 use wallstile::core::election::{INITIALIZED_KEY, LEADER_KEY, LeaderRecord, SUCCESSOR_KEY};
 use wallstile::core::machine::{MACHINE_PREFIX, MachineRecord, machine_key};
 use wallstile::core::records::{
-    BITMAP_PREFIX, LIVE_PREFIX, LiveRecord, TERMINAL_PREFIX, TerminalRecord, absent_preconditions, has_dependencies,
-    live_key, live_precondition, terminal_key, termination_mutations,
+    BITMAP_PREFIX, BITMAP_SEQUENCE_KEY, LIVE_PREFIX, LiveRecord, TERMINAL_PREFIX, TerminalRecord, absent_preconditions,
+    has_dependencies, live_key, live_precondition, terminal_key, termination_mutations,
 };
 use wallstile::core::shards::{SHARDS_KEY, ShardAssignment};
 use wallstile::ids::{LeaseId, MachineId, Revision};
@@ -37,6 +37,7 @@
         "over": terminal_key(&job_id()),
         "machine": machine_key(&machine),
         "leader": LEADER_KEY,
+        "bitmap_sequence": BITMAP_SEQUENCE_KEY,
         "founded": INITIALIZED_KEY,
         "heir": SUCCESSOR_KEY,
         "kinds": MACHINE_TYPES_KEY,
