Test that clears wait for orders in flight and go with responses only

What: two situations: a heartbeat while orders are in flight, and a direct message while a clear is queued.

--- a/src/core/scheduler/tests/copies.rs
+++ b/src/core/scheduler/tests/copies.rs
@@ -26,6 +26,21 @@
         }
     }
 
+    /// Ticks the leader, whose other effects are performed, until it sends orders. Returns that effect, which is not
+    /// performed.
+    fn run_until_orders_are_sent(&mut self) -> Effect {
+        loop {
+            self.now += TICK_INTERVAL.0;
+            self.tick();
+            for effect in self.scheduler.take_effects() {
+                if matches!(effect, Effect::Orders { .. }) {
+                    return effect;
+                }
+                self.perform_effect(effect);
+            }
+        }
+    }
+
     /// Makes the only task that a worker lists exit for this cause, and returns the worker's endpoint.
     fn exit_only_task(&mut self, cause: ExitCause) -> String {
         let name = self.first_busy_worker();
@@ -95,6 +110,50 @@
     assert_eq!(harness.workers["w0"].token.0, token.0 + 1, "all eight ran under the same fence");
 }
 
+#[test]
+fn fence_is_not_raised_while_orders_are_in_flight() {
+    // Guards against a response with a higher token that overtakes orders in flight: the worker would refuse them.
+    let mut harness = SchedulerHarness::new(1);
+    harness.run(2_000);
+    harness.submit(200, spec("req-000001", JobKind::Array, 1, 1.0));
+    harness.run(1_000);
+    harness.submit(201, spec("req-000002", JobKind::Array, 1, 1.0));
+    let in_flight = harness.run_until_orders_are_sent();
+    harness.exit_only_task(ExitCause::Halted);
+    harness.send_heartbeat("w0");
+    let Effect::Orders { body, .. } = &in_flight else { unreachable!("the effect sends orders") };
+    assert_eq!(harness.workers["w0"].token, body.token);
+    assert_eq!(harness.workers["w0"].tasks.len(), 1, "the clear order waits as well");
+    let token = body.token;
+    harness.perform_effect(in_flight);
+    assert_eq!(harness.workers["w0"].tasks.len(), 2, "the worker has executed the orders");
+    harness.send_heartbeat("w0");
+    assert_eq!(harness.workers["w0"].tasks.len(), 1, "the exited task is cleared");
+    assert!(harness.workers["w0"].token > token);
+}
+
+#[test]
+fn clear_orders_go_with_responses_only() {
+    // Guards against a direct message with a higher token that overtakes a response with a lower one: the worker would
+    // drop the response, which then doesn't renew its lease.
+    let mut harness = SchedulerHarness::new(1);
+    harness.run(2_000);
+    harness.submit(200, spec("req-000001", JobKind::Array, 1, 1.0));
+    harness.run(1_000);
+    harness.exit_only_task(ExitCause::Halted);
+    harness.submit(201, spec("req-000002", JobKind::Array, 1, 1.0));
+    // The answer to these orders lists the exited task.
+    let orders = harness.run_until_orders_are_sent();
+    harness.perform_effect(orders);
+    harness.submit(202, spec("req-000003", JobKind::Array, 1, 1.0));
+    let next_orders = harness.run_until_orders_are_sent();
+    let Effect::Orders { body, .. } = &next_orders else { unreachable!("the effect sends orders") };
+    assert!(!body.orders.iter().any(|order| matches!(order, Order::Clear { .. })), "{body:?}");
+    harness.perform_effect(next_orders);
+    harness.send_heartbeat("w0");
+    assert!(harness.workers["w0"].tasks.iter().all(|status| status.phase == TaskPhase::Running), "it is cleared");
+}
+
 #[test]
 fn clears_wait_for_a_refresh_of_the_fence_revision_when_fences_run_out() {
     let mut harness = SchedulerHarness::new(1);
