Space bitmap writes by what one transaction stores, not by all that waits

The interval between writes grew with all jobs that wait, though a transaction stores at most `txn_ops` chunks of them: the more waited, the fewer were stored a second, below the rate meant for bitmaps. Change: the interval counts the mutations of one transaction.

--- a/src/core/scheduler/writes.rs
+++ b/src/core/scheduler/writes.rs
@@ -26,6 +26,9 @@
 /// Fraction of the leader's write rate that may be used for completion bitmaps (which tasks of a job are done).
 const BITMAP_RATE_SHARE: f64 = 0.4;
 
+/// Number of mutations of [`BITMAP_SEQUENCE_KEY`] in a write of completion bitmaps.
+const BITMAP_SEQUENCE_MUTATIONS: usize = 1;
+
 /// Minimum interval between two writes of completion bitmaps, in seconds.
 const MIN_BITMAP_INTERVAL_S: f64 = 1.5;
 
@@ -157,12 +160,13 @@
     }
 
     /// Stores which tasks are done, so that workers may forget them. The interval between two writes grows with the
-    /// number of jobs whose done tasks have changed, to stay within the rate for bitmaps. Returns `false` if nothing
-    /// was due.
+    /// number of jobs whose done tasks have changed, as far as one transaction can store them, to stay within the rate
+    /// for bitmaps. Returns `false` if nothing was due.
     fn write_completion_bitmaps(&mut self, now: MonotonicTime) -> bool {
         let jobs = self.jobs.iter();
         let changed: Vec<JobId> = jobs.filter(|(_, job)| job.has_unsaved_bitmap()).map(|(id, _)| *id).collect();
-        let interval_s = changed.len() as f64 / (self.limits.write_rps * BITMAP_RATE_SHARE);
+        let mutations = (changed.len() + BITMAP_SEQUENCE_MUTATIONS).min(self.limits.txn_ops);
+        let interval_s = mutations as f64 / (self.limits.write_rps * BITMAP_RATE_SHARE);
         let interval = Millis::from_secs_f64(interval_s.max(MIN_BITMAP_INTERVAL_S));
         if changed.is_empty() || self.writes.since_bitmap_write(now) < interval || !self.writes.has_tokens(2.0) {
             return false;
@@ -187,8 +191,7 @@
     /// that will be durably done, and the mutations that store the changed chunks. If the first job alone has too many
     /// changed chunks, only the first of that job's changed chunks are written.
     fn start_bitmap_writes(&mut self, changed: Vec<JobId>) -> (Vec<(JobId, FixedBitSet)>, Vec<Mutation>) {
-        // One of the transaction's mutations is that of the sequence key.
-        let max_mutations = self.limits.txn_ops.min(self.writes.whole_tokens()).saturating_sub(1).max(1);
+        let max_mutations = self.limits.txn_ops.min(self.writes.whole_tokens()) - BITMAP_SEQUENCE_MUTATIONS;
         let mut mutations = Vec::new();
         let mut bitmaps = Vec::new();
         for id in changed {
