Tests of copies: use the machine key and one way to end a task

What: the tests of copies built a machine's key themselves and ended a task in a twin of finish_first_task; both call one function now. A name that said "only" where the first task is meant, and a comment that named the wrong reason, are mended. No assertion and no product code changed.

--- a/src/core/scheduler/tests.rs
+++ b/src/core/scheduler/tests.rs
@@ -359,9 +359,14 @@
 
     /// Makes the first task that a worker lists exit as done.
     fn finish_first_task(&mut self, name: &str) {
+        self.exit_first_task(name, ExitCause::Done);
+    }
+
+    /// Makes the first task that a worker lists exit for this cause.
+    fn exit_first_task(&mut self, name: &str, cause: ExitCause) {
         let heartbeat = self.workers.get_mut(name).expect("a worker of the harness");
         let first = heartbeat.tasks[0].clone();
-        SchedulerHarness::exit_task(heartbeat, first.task, first.attempt, ExitCause::Done);
+        SchedulerHarness::exit_task(heartbeat, first.task, first.attempt, cause);
     }
 
     /// Returns the endpoint of the first worker that lists a task.
--- a/src/core/scheduler/tests/copies.rs
+++ b/src/core/scheduler/tests/copies.rs
@@ -1,6 +1,7 @@
 //! Tests that copies of orders that were carried out are harmless, however late they arrive.
 
 use super::*;
+use crate::core::machine::machine_key;
 
 impl SchedulerHarness {
     /// Runs for `ms` milliseconds. After each step, checks that no worker would start a task if a copy of any earlier
@@ -41,12 +42,10 @@
         }
     }
 
-    /// Makes the only task that a worker lists exit for this cause, and returns the worker's endpoint.
-    fn exit_only_task(&mut self, cause: ExitCause) -> String {
+    /// Makes the first task of the first busy worker exit for this cause, and returns the worker's endpoint.
+    fn exit_task_of_busy_worker(&mut self, cause: ExitCause) -> String {
         let name = self.first_busy_worker();
-        let heartbeat = self.workers.get_mut(&name).unwrap();
-        let status = heartbeat.tasks[0].clone();
-        SchedulerHarness::exit_task(heartbeat, status.task, status.attempt, cause);
+        self.exit_first_task(&name, cause);
         name
     }
 }
@@ -59,8 +58,8 @@
         harness.run(2_000);
         let id = harness.submit(200, spec("req-000001", JobKind::Array, 1, 8.0));
         harness.run_with_copies(1_000);
-        let first = harness.exit_only_task(cause);
-        // The machine that has failed the task is avoided; on the other ones capacity is free.
+        let first = harness.exit_task_of_busy_worker(cause);
+        // With a notice of its reclamation the machine gets no more tasks, so that the task starts on the other one.
         harness.workers.get_mut(&first).unwrap().notice_s = Some(1_000.0);
         harness.run_with_copies(20_000);
         assert!(harness.workers[&first].tasks.is_empty(), "the exit is cleared, cause={cause:?}");
@@ -87,7 +86,7 @@
     harness.run(2_000);
     let id = harness.submit(200, spec("req-000001", JobKind::Array, 1, 8.0));
     harness.run_with_copies(1_000);
-    let first = harness.exit_only_task(ExitCause::Halted);
+    let first = harness.exit_task_of_busy_worker(ExitCause::Halted);
     harness.change_leader();
     harness.run_with_copies(20_000);
     assert_eq!(harness.running_count(&id), 1);
@@ -104,7 +103,7 @@
     harness.run_with_copies(1_000);
     assert_eq!(harness.workers["w0"].token, token, "run orders alone raise nothing");
     for _ in 0..8 {
-        harness.exit_only_task(ExitCause::Done);
+        harness.exit_task_of_busy_worker(ExitCause::Done);
         harness.run_with_copies(3_000);
     }
     assert_eq!(harness.workers["w0"].token.0, token.0 + 1, "all eight ran under the same fence");
@@ -119,7 +118,7 @@
     harness.run(1_000);
     harness.submit(201, spec("req-000002", JobKind::Array, 1, 1.0));
     let in_flight = harness.run_until_orders_are_sent();
-    harness.exit_only_task(ExitCause::Halted);
+    harness.exit_task_of_busy_worker(ExitCause::Halted);
     harness.send_heartbeat("w0");
     let Effect::Orders { body, .. } = &in_flight else { unreachable!("the effect sends orders") };
     assert_eq!(harness.workers["w0"].token, body.token);
@@ -140,7 +139,7 @@
     harness.run(2_000);
     harness.submit(200, spec("req-000001", JobKind::Array, 1, 1.0));
     harness.run(1_000);
-    harness.exit_only_task(ExitCause::Halted);
+    harness.exit_task_of_busy_worker(ExitCause::Halted);
     harness.submit(201, spec("req-000002", JobKind::Array, 1, 1.0));
     // The answer to these orders lists the exited task.
     let orders = harness.run_until_orders_are_sent();
@@ -165,7 +164,7 @@
     let job = harness.submit(200, spec("req-000001", JobKind::Array, 1, 8.0));
     harness.run_with_copies(1_000);
     harness.unanswered_transactions = Some(Vec::new());
-    harness.exit_only_task(ExitCause::Halted);
+    harness.exit_task_of_busy_worker(ExitCause::Halted);
     let is_exited = |status: &&TaskStatus| status.phase == TaskPhase::Exited;
     let exited_count = |harness: &SchedulerHarness| harness.workers["w0"].tasks.iter().filter(is_exited).count();
     harness.run_with_copies(5_000);
@@ -182,12 +181,12 @@
 #[test]
 fn copy_of_a_machine_record_only_delays_the_next_leader() {
     let mut harness = SchedulerHarness::new(1);
+    let key = machine_key(&MachineId::parse("m-000001").unwrap());
     let registration = {
         let mut heartbeat = SchedulerHarness::idle_heartbeat(1);
         heartbeat.sequence = SequenceNumber(1);
         harness.workers.insert("w1".into(), heartbeat);
         harness.run(3_000);
-        let key = machine_key("m-000001");
         let is_registration = |transaction: &&Transaction| {
             transaction
                 .mutations
@@ -199,17 +198,13 @@
     harness.workers.remove("w1");
     harness.run(15_000);
     assert!(harness.terminated.contains("m-000001"));
-    assert!(!harness.store.contains_key(&machine_key("m-000001")), "the record is deleted");
+    assert!(!harness.store.contains_key(&key), "the record is deleted");
     harness.commit(registration);
     harness.terminated.clear();
     let job = harness.submit(200, spec("req-000001", JobKind::Array, 1, 8.0));
     harness.change_leader();
     harness.run(20_000);
     assert!(harness.terminated.contains("m-000001"), "the machine that isn't there is terminated again");
-    assert!(!harness.store.contains_key(&machine_key("m-000001")));
+    assert!(!harness.store.contains_key(&key));
     assert_eq!(harness.running_count(&job), 1, "the job runs");
 }
-
-fn machine_key(name: &str) -> String {
-    format!("{MACHINE_PREFIX}{name}")
-}
