Count the allocations and orders that the start of a task examines

A start looked at each allocation of its machine and, with a zone rule, at each placed task of its job, without counting them, so that the line "slow input" could not tell a search from a start.

--- a/src/core/scheduler/placement_checks.rs
+++ b/src/core/scheduler/placement_checks.rs
@@ -21,6 +21,10 @@
         };
         let spec = &job.spec;
         let need = Resources::of_task(spec);
+        self.meter.add_tasks(machine.allocations.len());
+        if spec.spread || spec.one_zone {
+            self.meter.add_tasks(job.placed.len());
+        }
         let free = self.unreserved_capacity(machine_id, machine, Some(job_id));
         let placed = zone_counts(job, &self.machines.known);
         let team = job.team;
