--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -5,7 +5,9 @@
 use crate::core::dependencies::InheritedConstraints;
 use crate::core::machine::QUARANTINE_PERIOD;
 use crate::core::records::LiveRecord;
+use crate::core::task_set::TaskSet;
 use crate::ids::{Attempt, JobId, MachineId, Revision, TaskId};
+use crate::peer::ZoneCount;
 use crate::time::{Millis, MonotonicTime, WallTime};
 use crate::wire::{JobSpec, Priority};
 use fixedbitset::FixedBitSet;
@@ -40,6 +42,17 @@
     pub broken: bool,
 }
 
+/// A machine where a task attempt may be running.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TaskPlace {
+    /// The machine.
+    pub machine: MachineId,
+    /// Index of the machine's zone in the scheduler's catalog.
+    pub zone: u32,
+    /// The attempt to run the task.
+    pub attempt: Attempt,
+}
+
 /// A job that is neither done nor cancelled.
 pub struct Job {
     /// The job's description, as the user submitted it.
@@ -64,12 +77,14 @@
     /// Number of the job's tasks that are done.
     pub done_count: u32,
     /// Indices of the tasks waiting to be placed: neither done nor possibly on a machine.
-    pub ready: BTreeSet<u32>,
+    pub ready: TaskSet,
     /// Indices of the ready tasks whose last attempt was lost because the cloud reclaimed its spot machine.
-    pub reclaimed: BTreeSet<u32>,
+    pub reclaimed: TaskSet,
     /// The machines and attempts where each task may be running, by task index. A task has more than one entry
     /// only while a new leader cannot yet tell which of two heartbeats is the later one.
-    pub placed: BTreeMap<u32, Vec<(MachineId, Attempt)>>,
+    pub placed: BTreeMap<u32, Vec<TaskPlace>>,
+    /// How many entries of `placed` are in each zone.
+    placed_by_zone: BTreeMap<u32, u32>,
     /// The current attempt of a gang; set while any of its tasks may be on a machine.
     pub gang: Option<GangRun>,
     /// Whether a write that ends the job in the key-value store, by storing its terminal record, is in flight.
@@ -110,9 +125,10 @@
             done: FixedBitSet::with_capacity(tasks as usize),
             durably_done: FixedBitSet::with_capacity(tasks as usize),
             done_count: 0,
-            ready: (0..tasks).collect(),
-            reclaimed: BTreeSet::new(),
+            ready: TaskSet::all(tasks),
+            reclaimed: TaskSet::none(tasks),
             placed: BTreeMap::new(),
+            placed_by_zone: BTreeMap::new(),
             gang: None,
             finishing: false,
             bitmap_write_in_flight: false,
@@ -157,8 +173,15 @@
         if !self.done.put(index as usize) {
             self.done_count += 1;
         }
-        self.ready.remove(&index);
-        self.reclaimed.remove(&index);
+        self.ready.remove(index);
+        self.reclaimed.remove(index);
+    }
+
+    /// Marks all tasks as done.
+    pub fn set_all_done(&mut self) {
+        if !self.all_done() {
+            (0..self.spec.tasks).for_each(|index| self.set_done(index));
+        }
     }
 
     /// Whether all tasks of the job are done.
@@ -178,30 +201,41 @@
         }
     }
 
-    /// Records that a task attempt may be on a machine from now on.
-    pub fn place(&mut self, index: u32, machine: &MachineId, attempt: Attempt) {
-        self.ready.remove(&index);
-        self.reclaimed.remove(&index);
+    /// Records that a task attempt may be running at this place from now on.
+    pub fn place(&mut self, index: u32, place: TaskPlace) {
+        self.ready.remove(index);
+        self.reclaimed.remove(index);
         let places = self.placed.entry(index).or_default();
-        if !places.iter().any(|(other, other_attempt)| other == machine && *other_attempt == attempt) {
-            places.push((machine.clone(), attempt));
+        if !places.contains(&place) {
+            *self.placed_by_zone.entry(place.zone).or_default() += 1;
+            places.push(place);
         }
     }
 
     /// Records that a task attempt is proven not to be on the machine any more.
     pub fn unplace(&mut self, index: u32, machine: &MachineId, attempt: Attempt) {
-        if let Some(places) = self.placed.get_mut(&index) {
-            places.retain(|(other, other_attempt)| other != machine || *other_attempt != attempt);
-            if places.is_empty() {
-                self.placed.remove(&index);
-            }
+        let Some(places) = self.placed.get_mut(&index) else { return };
+        for removed in places.extract_if(.., |place| place.machine == *machine && place.attempt == attempt) {
+            self.placed_by_zone.entry(removed.zone).and_modify(|count| *count -= 1);
+        }
+        if places.is_empty() {
+            self.placed.remove(&index);
+        }
+    }
+
+    /// How many of the job's task attempts may be running in each zone. Empty if the job has no zone constraint.
+    pub fn zone_counts(&self) -> Vec<ZoneCount> {
+        if !self.spec.spread && !self.spec.one_zone {
+            return Vec::new();
         }
+        let counts = self.placed_by_zone.iter().filter(|(_, count)| **count > 0);
+        counts.map(|(zone, count)| ZoneCount { zone: *zone, count: *count }).collect()
     }
 
     /// All task attempts that may be on machines, in ascending order of the task index.
     pub fn places(&self) -> impl Iterator<Item = (u32, &MachineId, Attempt)> {
         let places = self.placed.iter();
-        places.flat_map(|(index, places)| places.iter().map(|(machine, attempt)| (*index, machine, *attempt)))
+        places.flat_map(|(index, places)| places.iter().map(|place| (*index, &place.machine, place.attempt)))
     }
 
     /// Whether a task attempt on a machine may keep running: its task is not done, and it does not belong to a
@@ -230,11 +264,10 @@
     /// bitmap that it is given, and these tasks are marked as done. Returns what `read` returns: whether the chunk
     /// was readable.
     pub fn load_bitmap(&mut self, read: impl FnOnce(&mut FixedBitSet) -> bool) -> bool {
-        let readable = read(&mut self.durably_done);
-        let done: Vec<usize> = self.durably_done.ones().collect();
-        for index in done {
-            self.set_done(index as u32);
-        }
+        let mut loaded = FixedBitSet::with_capacity(self.durably_done.len());
+        let readable = read(&mut loaded);
+        loaded.ones().for_each(|index| self.set_done(index as u32));
+        self.durably_done.union_with(&loaded);
         readable
     }
 
--- a/src/core/machine.rs
+++ b/src/core/machine.rs
@@ -4,6 +4,7 @@
 //! there is proof that the task is gone. Only [`crate::core::scheduler`] decides what counts as proof.
 
 pub use crate::core::allocation::{Allocation, PendingRun, TaskAttempt};
+use crate::core::outbox::Outbox;
 use crate::core::provisioning::InstancePool;
 pub use crate::core::resources::Resources;
 use crate::ids::{AgentEpoch, FencingToken, MachineId, RequestId, SequenceNumber, Term};
@@ -32,7 +33,7 @@
 const MAX_SLOWDOWN_RATIO: f64 = 10.0;
 
 /// An image fetch that has taken longer than expected is assumed to end this many seconds from now.
-const MIN_REMAINING_FETCH_S: f64 = 0.2;
+pub const MIN_REMAINING_FETCH_S: f64 = 0.2;
 
 /// Prefix of the keys of machine records, `fleet/ID`. A record is written before its machine gets its first order.
 pub const MACHINE_PREFIX: &str = "fleet/";
@@ -137,7 +138,7 @@
     /// to the worker directly.
     pub orders_in_flight: Option<RequestId>,
     /// Orders for the machine's worker that have not been sent yet.
-    pub outbox: Vec<Order>,
+    pub outbox: Outbox,
     /// The task attempts that may be on the machine.
     pub allocations: BTreeMap<TaskAttempt, Allocation>,
     /// Number of task lists of the machine's worker that have been applied, from heartbeats and from answers to orders.
@@ -192,7 +193,7 @@
             required_fence: 0,
             awaits_fence_ack: false,
             orders_in_flight: None,
-            outbox: Vec::new(),
+            outbox: Outbox::default(),
             allocations: BTreeMap::new(),
             task_lists_applied: 0,
             spot_notice: false,
@@ -362,25 +363,8 @@
     /// token makes the worker refuse the copy, so a clear order must carry a higher token than the attempt's run order.
     pub fn clears_need_higher_fence(&self, term: Term) -> bool {
         let token = self.token(term);
-        self.outbox.iter().any(|order| match order {
-            Order::Clear { task, attempt } => {
-                self.allocations.get(&(*task, *attempt)).is_some_and(|allocation| allocation.run_token >= token)
-            }
-            Order::Run { .. } | Order::Stop { .. } => false,
-        })
-    }
-
-    /// Takes the clear orders out of the outbox, at most `limit` of them.
-    pub fn take_clears(&mut self, limit: usize) -> Vec<Order> {
-        let is_clear = |order: &mut Order| matches!(order, Order::Clear { .. });
-        self.outbox.extract_if(.., is_clear).take(limit).collect()
-    }
-
-    /// Adds an order to those that are to be sent to the worker, unless the same order is among them already.
-    pub fn queue_order(&mut self, order: Order) {
-        if !self.outbox.contains(&order) {
-            self.outbox.push(order);
-        }
+        let mut clears = self.outbox.clears();
+        clears.any(|key| self.allocations.get(&key).is_some_and(|allocation| allocation.run_token >= token))
     }
 }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -9,6 +9,7 @@
 pub mod election;
 pub mod jobs;
 pub mod machine;
+pub mod outbox;
 pub mod overload;
 pub mod placement;
 pub mod provisioning;
@@ -17,6 +18,7 @@
 pub mod scheduler;
 pub mod shards;
 pub mod submissions;
+pub mod task_set;
 
 #[cfg(test)]
 mod election_simulation;
--- a/src/core/placement/candidates.rs
+++ b/src/core/placement/candidates.rs
@@ -134,9 +134,9 @@
         }
     }
 
-    /// Releases what [`Candidate::allocate`] allocated for one task of the job.
-    pub(super) fn release(&mut self, job: &JobView) {
-        let need = Resources::from(job);
+    /// Releases what [`Candidate::allocate`] allocated for `tasks` tasks of the job.
+    pub(super) fn release(&mut self, job: &JobView, tasks: u32) {
+        let need = Resources::from(job).times(tasks);
         self.capacity.add(&need);
         if self.is_limited_to_headroom(job) {
             self.preemptible_headroom.add(&need);
--- a/src/core/placement/formulas.rs
+++ b/src/core/placement/formulas.rs
@@ -37,17 +37,24 @@
     if spot { due_s - run_s } else { due_s }
 }
 
-/// Whether one more task of a job may be placed in the zone.
+/// Whether one more task of a job may be placed in the zone, see [`zone_allowance`].
+pub fn zone_allowed(spread: bool, one_zone: bool, tasks: u32, placed: &[ZoneCount], zone: u32) -> bool {
+    zone_allowance(spread, one_zone, tasks, placed, zone) > 0
+}
+
+/// How many more tasks of a job may be placed in the zone; [`u32::MAX`] if any number.
 ///
 /// `tasks` is how many tasks the job has and `placed` how many of them are in each zone. At most half of a spread
 /// job's tasks, rounded up, may be in one zone. All tasks of a one-zone job must be in the same zone.
-pub fn zone_allowed(spread: bool, one_zone: bool, tasks: u32, placed: &[ZoneCount], zone: u32) -> bool {
-    if !spread && !one_zone {
-        return true;
+pub fn zone_allowance(spread: bool, one_zone: bool, tasks: u32, placed: &[ZoneCount], zone: u32) -> u32 {
+    if one_zone && placed.iter().any(|placed| placed.zone != zone && placed.count > 0) {
+        return 0;
+    }
+    if !spread {
+        return u32::MAX;
     }
     let here = placed.iter().filter(|placed| placed.zone == zone).map(|placed| placed.count).sum::<u32>();
-    let elsewhere = placed.iter().any(|placed| placed.zone != zone && placed.count > 0);
-    !(spread && here >= tasks.div_ceil(2) || one_zone && elsewhere)
+    tasks.div_ceil(2).saturating_sub(here)
 }
 
 /// The quality of a candidate, 0 to 3: the sum of its scores, 0 to 1 each, for time (paper, eq. 4), cost (eq. 5) and
--- a/src/core/placement/job_progress.rs
+++ b/src/core/placement/job_progress.rs
@@ -6,7 +6,7 @@
 use super::candidates::{Candidate, SearchScope};
 use super::estimates::estimate_in_scope;
 use super::ranking::CandidateRanking;
-use super::{Estimate, TOLERANCE, sub_deadline, zone_allowed};
+use super::{Estimate, TOLERANCE, sub_deadline, zone_allowance, zone_allowed};
 use crate::core::cost::OperationMeter;
 use crate::peer::{JobView, Placement, PlanInput, PlanOutput, WaitingTasks, ZoneCount};
 use std::collections::BTreeMap;
@@ -242,11 +242,26 @@
         meter.add_comparisons(examined.unwrap_or(0));
     }
 
-    /// Counts one more of the job's tasks in the zone.
-    pub(super) fn count_in_zone(&mut self, zone: u32) {
+    /// Allocates capacity of the candidate, which is feasible for the job, for up to `tasks` of the job's tasks. Returns
+    /// the number of tasks, at least one.
+    pub(super) fn allocate(&self, candidate: &mut Candidate, tasks: u32) -> u32 {
+        let JobView { spread, one_zone, tasks: total, .. } = *self.job;
+        let allowed = zone_allowance(spread, one_zone, total, &self.zone_counts, candidate.zone);
+        let most = tasks.min(allowed);
+        candidate.allocate(self.job);
+        let mut count = 1;
+        while count < most && candidate.fits(self.job, self.scope) {
+            candidate.allocate(self.job);
+            count += 1;
+        }
+        count
+    }
+
+    /// Counts more of the job's tasks in the zone.
+    pub(super) fn count_in_zone(&mut self, zone: u32, tasks: u32) {
         match self.zone_counts.iter_mut().find(|counted| counted.zone == zone) {
-            Some(counted) => counted.count += 1,
-            None => self.zone_counts.push(ZoneCount { zone, count: 1 }),
+            Some(counted) => counted.count += tasks,
+            None => self.zone_counts.push(ZoneCount { zone, count: tasks }),
         }
     }
 
@@ -264,9 +279,9 @@
         self.ranking.invalidate();
     }
 
-    /// Records that a task is placed on the candidate, and reduces the spare budget (paper, line 17). `machine` is the
-    /// machine's key if the task starts now, or `None` if the task waits for machines to come up.
-    pub(super) fn record_task(&mut self, candidate: &Candidate, index: usize, machine: Option<u32>) {
+    /// Records that tasks are placed on the candidate, and reduces the spare budget (paper, line 17). `machine` is the
+    /// machine's key if the tasks start now, or `None` if they wait for machines to come up.
+    pub(super) fn record_tasks(&mut self, candidate: &Candidate, index: usize, machine: Option<u32>, tasks: u32) {
         let estimate = self.estimates[index].unwrap_or(Estimate {
             finish_s: 0.0,
             start_s: 0.0,
@@ -274,15 +289,15 @@
             reliability: 0.0,
             spot: false,
         });
-        let excess_cost = (estimate.cost - self.cheapest_cost).max(0.0);
+        let excess_cost = (estimate.cost - self.cheapest_cost).max(0.0) * f64::from(tasks);
         self.spare_budget = (self.spare_budget - excess_cost).max(0.0);
-        self.tasks_left -= 1;
+        self.tasks_left -= tasks;
         if let Some(machine) = machine {
             let placed = self.placed.entry(machine).or_default();
-            placed.count += 1;
+            placed.count += tasks;
             placed.excess_cost += excess_cost;
         } else {
-            self.waiting.count += 1;
+            self.waiting.count += tasks;
             self.waiting.waits_for_spot |= candidate.spot && !candidate.up;
             self.waiting.finish_s = self.waiting.finish_s.max(estimate.finish_s);
             self.waiting.start_s = self.waiting.start_s.max(estimate.start_s);
--- a/src/core/placement/planner.rs
+++ b/src/core/placement/planner.rs
@@ -20,6 +20,13 @@
     NoCandidate,
 }
 
+/// A candidate that a job's turn has chosen, and how many of the job's tasks it gets.
+struct ChosenCandidate {
+    /// Index of the candidate in the planner's list of candidates.
+    index: usize,
+    tasks: u32,
+}
+
 /// The resources that a team may still allocate in this round before it reaches its quota.
 #[derive(Clone, Copy)]
 struct RemainingQuota {
@@ -127,28 +134,33 @@
         }
     }
 
-    /// Allocates capacity for `tasks` tasks of the job, all or none. Returns the index of the candidate for each task.
-    fn choose(&mut self, progress: &mut JobProgress, tasks: u32) -> Option<Vec<usize>> {
+    /// Allocates capacity for `tasks` tasks of the job, all or none. Returns how many tasks each chosen candidate gets.
+    ///
+    /// A candidate that is the best for one task stays the best for the following ones until it is full, as budget and
+    /// time don't change before the placements are recorded.
+    fn choose(&mut self, progress: &mut JobProgress, tasks: u32) -> Option<Vec<ChosenCandidate>> {
         let job = progress.job();
-        let mut chosen = Vec::new();
-        for _ in 0..tasks {
+        let mut chosen: Vec<ChosenCandidate> = Vec::new();
+        let mut tasks_left = tasks;
+        while tasks_left > 0 {
             progress.add_new_candidates(self.input, &self.candidates, self.meter);
             let Some(index) = progress.best_candidate(&self.candidates, self.meter) else { break };
             let candidate = &mut self.candidates[index];
-            candidate.allocate(job);
-            progress.count_in_zone(candidate.zone);
-            chosen.push(index);
+            let count = progress.allocate(candidate, tasks_left);
+            progress.count_in_zone(candidate.zone, count);
+            tasks_left -= count;
+            chosen.push(ChosenCandidate { index, tasks: count });
             if let (Some(offer), false) = (candidate.offer(), candidate.requested) {
                 candidate.requested = true;
                 self.add_candidate_of_offer(offer);
             }
         }
-        if chosen.len() == tasks as usize {
+        if tasks_left == 0 {
             return Some(chosen);
         }
-        for index in chosen {
+        for ChosenCandidate { index, tasks } in chosen {
             let candidate = &mut self.candidates[index];
-            candidate.release(job);
+            candidate.release(job, tasks);
             if candidate.offer().is_some() && candidate.load <= TOLERANCE {
                 candidate.requested = false;
             }
@@ -159,7 +171,7 @@
 
     /// Places a one-zone gang by trying each zone in turn. If the best candidate for the first task decided the zone,
     /// that zone might lack capacity for the whole gang.
-    fn choose_zone_by_zone(&mut self, progress: &mut JobProgress, tasks: u32) -> Option<Vec<usize>> {
+    fn choose_zone_by_zone(&mut self, progress: &mut JobProgress, tasks: u32) -> Option<Vec<ChosenCandidate>> {
         let mut zones: Vec<u32> = self.candidates.iter().map(|candidate| candidate.zone).collect();
         zones.sort_unstable();
         zones.dedup();
@@ -169,22 +181,22 @@
         })
     }
 
-    /// Records the placement of one task on each chosen candidate. If any of these machines isn't up, all the tasks
-    /// wait.
-    fn record(&mut self, progress: &mut JobProgress, chosen: &[usize]) -> TurnOutcome {
+    /// Records the placement of tasks on the chosen candidates. If any of these machines isn't up, all the tasks wait.
+    fn record(&mut self, progress: &mut JobProgress, chosen: &[ChosenCandidate]) -> TurnOutcome {
         let job = progress.job();
-        let all_up = chosen.iter().all(|index| self.candidates[*index].up);
-        for index in chosen {
+        let all_up = chosen.iter().all(|chosen| self.candidates[chosen.index].up);
+        for ChosenCandidate { index, tasks } in chosen {
             let candidate = &mut self.candidates[*index];
             let machine = match candidate.source {
                 CandidateSource::Machine { key, .. } => all_up.then_some(key),
                 CandidateSource::Offer(_) => {
-                    candidate.load += machine_fraction(&self.input.types[candidate.type_index], job);
+                    let fraction = machine_fraction(&self.input.types[candidate.type_index], job);
+                    candidate.load += fraction * f64::from(*tasks);
                     candidate.priority = candidate.priority.min(job.priority);
                     None
                 }
             };
-            progress.record_task(candidate, *index, machine);
+            progress.record_tasks(candidate, *index, machine, *tasks);
         }
         if all_up { TurnOutcome::Placed } else { TurnOutcome::Pending }
     }
--- a/src/core/resources.rs
+++ b/src/core/resources.rs
@@ -42,6 +42,12 @@
         self.memory_gb -= other.memory_gb;
     }
 
+    /// What `tasks` tasks with this need take together.
+    pub fn times(&self, tasks: u32) -> Resources {
+        let tasks = f64::from(tasks);
+        Resources { cpus: self.cpus * tasks, gpus: self.gpus * tasks, memory_gb: self.memory_gb * tasks }
+    }
+
     /// Raises each resource to at least the amount in `other`.
     pub fn max_with(&mut self, other: &Resources) {
         self.cpus = self.cpus.max(other.cpus);
@@ -49,6 +55,16 @@
         self.memory_gb = self.memory_gb.max(other.memory_gb);
     }
 
+    /// How many of `tasks` tasks that need `need` each this amount is enough for.
+    pub fn count_covered(mut self, need: &Resources, tasks: u32) -> u32 {
+        let mut covered = 0;
+        while covered < tasks && self.covers(need) {
+            self.sub(need);
+            covered += 1;
+        }
+        covered
+    }
+
     /// Whether this amount is enough for `need` in each resource, apart from rounding errors.
     pub fn covers(&self, need: &Resources) -> bool {
         need.cpus <= self.cpus + ROUNDING_TOLERANCE
--- a/src/core/scheduler/consolidation.rs
+++ b/src/core/scheduler/consolidation.rs
@@ -1,7 +1,6 @@
 //! Consolidates service replicas onto fewer machines, so that machines which run nothing else can be terminated.
 
 use super::Scheduler;
-use super::planner_view::zone_counts;
 use crate::core::machine::{Allocation, Machine, Resources, TaskAttempt};
 use crate::core::placement;
 use crate::ids::MachineId;
@@ -149,7 +148,7 @@
         let source_has_gpus = self.catalog.types[source.machine.kind].gpus > 0.0;
         for (key, allocation) in &source.machine.allocations {
             let Some(job) = self.jobs.live.get(&key.0.job) else { continue };
-            let mut zones = zone_counts(job, &self.machines.known);
+            let mut zones = job.zone_counts();
             zones.iter_mut().filter(|zone| zone.zone == source.machine.zone).for_each(|zone| zone.count -= 1);
             let spec = &job.spec;
             let fits = |target: &&LoadedMachine| {
--- a/src/core/scheduler/eviction.rs
+++ b/src/core/scheduler/eviction.rs
@@ -172,9 +172,7 @@
         if !victims.is_empty() {
             debug!("preempting tasks for a job: job={id} machine={machine} tasks={}", victims.len());
         }
-        for victim in victims {
-            self.stop_task(machine, &victim);
-        }
+        self.stop_tasks(machine, &victims);
         self.reservations.add(now, machine.clone(), *id, need);
     }
 }
--- a/src/core/scheduler/gang_reservations.rs
+++ b/src/core/scheduler/gang_reservations.rs
@@ -138,7 +138,7 @@
         search.budget.spend(self.meter.read().since(&before).total());
         let best = best.filter(|(_, capacity)| partial == PartialCapacity::Reserve || capacity.reclaimable >= tasks);
         let Some((zone, capacity)) = best else { return false };
-        let mut missing = tasks - self.reserve_free_capacity(now, search, id, &capacity);
+        let missing = tasks - self.reserve_free_capacity(now, search, id, &capacity);
         if missing > 0 && capacity.reclaimable >= tasks {
             debug!(
                 "gang capacity found, preempting for the missing tasks: job={id} tasks={tasks} free={}",
@@ -146,9 +146,8 @@
             );
             pools.retain(|pool| zone == GangZone::Any || zone == GangZone::Zone(pool.zone));
             let request = PreemptionRequest { job: *id, target: PlacementTarget::Anywhere, tasks: missing, pools };
-            missing -= self.preempt_tasks(now, search, &request);
+            self.preempt_tasks(now, search, &request);
         }
-        self.meter.add_tasks((tasks - missing) as usize);
         true
     }
 
@@ -166,7 +165,7 @@
         let urgency = Urgency { guaranteed: false, ..self.urgency(id, job) };
         let mut reserved: BTreeMap<&MachineId, Resources> = BTreeMap::new();
         for reservation in self.reservations.for_job(id) {
-            reserved.entry(&reservation.machine).or_default().add(&reservation.need);
+            reserved.entry(&reservation.machine).or_default().add(&reservation.capacity());
         }
         let index = search.index(self, now);
         self.meter.add_machines(index.machines.len());
@@ -204,10 +203,11 @@
         self.reservations.release(id);
         let mut reserved = 0;
         for (machine, count) in &capacity.free {
-            for _ in 0..(*count).min(tasks - reserved) {
-                self.reservations.add(now, machine.clone(), *id, need);
+            let count = (*count).min(tasks - reserved);
+            if count > 0 {
+                self.reservations.add_tasks(now, machine.clone(), *id, need, count);
                 changed_machines.insert(machine.clone());
-                reserved += 1;
+                reserved += count;
             }
         }
         changed_machines.iter().for_each(|machine| search.refresh(self, now, machine));
--- a/src/core/scheduler/gpu_lending.rs
+++ b/src/core/scheduler/gpu_lending.rs
@@ -10,9 +10,6 @@
 use crate::wire::{JobKind, MachineType, Priority};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Tolerance for rounding errors in sums of fractional resources.
-const ROUNDING_TOLERANCE: f64 = 1e-6;
-
 /// What GPU jobs need on GPU machines, and which GPU machines are lendable: tasks that need no GPUs may fill them.
 pub(super) struct GpuLending {
     /// By machine type, the most processors and the most memory that a task of a GPU job permitted there needs.
@@ -109,26 +106,28 @@
         headroom
     }
 
-    /// Whether a task of the job takes no capacity of the machine that is kept free for GPU jobs, or belongs to a
-    /// service, which may take such capacity. Planners keep to this limit, but as they plan independently, several of
-    /// them may use the same remaining capacity.
-    pub(super) fn fits_headroom(
+    /// How many of `tasks` tasks of the job take no capacity of the machine that is kept free for GPU jobs. Services
+    /// may take such capacity. Planners keep to this limit, but as they plan independently, several of them may use the
+    /// same remaining capacity.
+    pub(super) fn tasks_within_headroom(
         &self,
         job: &Job,
         id: &MachineId,
         machine: &Machine,
         machine_type: &MachineType,
-    ) -> bool {
+        tasks: u32,
+    ) -> u32 {
         let spec = &job.spec;
         if machine_type.gpus <= 0.0 || spec.gpus > 0.0 || spec.kind == JobKind::Service {
-            return true;
+            return tasks;
         }
         let headroom = if job.priority() <= Priority::High {
             self.urgent_headroom(machine, machine_type)
         } else {
             self.preemptible_headroom(machine, machine_type, self.is_lendable(id))
         };
-        headroom.cpus + ROUNDING_TOLERANCE >= spec.cpus && headroom.memory_gb + ROUNDING_TOLERANCE >= spec.memory_gb
+        let headroom = Resources { gpus: 0.0, ..headroom };
+        headroom.count_covered(&Resources { gpus: 0.0, ..Resources::of_task(spec) }, tasks)
     }
 }
 
--- a/src/core/scheduler/heartbeats.rs
+++ b/src/core/scheduler/heartbeats.rs
@@ -9,7 +9,7 @@
 use crate::core::machine::{HeartbeatRoute, Machine, Registration, TaskAttempt};
 use crate::ids::{FencingToken, MachineId, Term};
 use crate::time::MonotonicTime;
-use crate::wire::{Heartbeat, HeartbeatResponse, Order, TaskPhase, TaskStatus};
+use crate::wire::{Heartbeat, HeartbeatResponse, TaskPhase, TaskStatus};
 use log::{Level, debug, info, log, warn};
 use thiserror::Error;
 
@@ -196,13 +196,13 @@
             self.flush_machine(id);
             return Err(HeartbeatRejection::TooManyStops { stops: orders.len() });
         }
-        machine.outbox.retain(|order| !matches!(order, Order::Stop { .. }));
+        machine.outbox.discard_stops();
         // The worker would refuse orders in flight if it got a response with a higher token before them.
         if is_newer && machine.orders_in_flight.is_none() && self.raise_fence_for_clears(id) {
             // Run orders are only sent directly, where the worker's answer confirms them. Clear orders, which delete
             // exited tasks from the worker's list, only go with responses to heartbeats.
             let machine = self.machines.known.get_mut(id).ok_or(HeartbeatRejection::Terminated)?;
-            orders.extend(machine.take_clears(MAX_ORDERS_PER_MESSAGE - orders.len()));
+            orders.extend(machine.outbox.take_clears(MAX_ORDERS_PER_MESSAGE - orders.len()));
         }
         let machine = self.machines.known.get(id).ok_or(HeartbeatRejection::Terminated)?;
         let token = machine.token(self.term);
--- a/src/core/scheduler/job_events.rs
+++ b/src/core/scheduler/job_events.rs
@@ -6,7 +6,7 @@
 use crate::core::jobs::Job;
 use crate::core::records::{JobOutcome, LIVE_PREFIX, LiveRecord};
 use crate::core::submissions;
-use crate::ids::{JobId, Revision, TaskId};
+use crate::ids::{JobId, MachineId, Revision, TaskId};
 use crate::time::MonotonicTime;
 use crate::wire::{JobSpec, KeyValue};
 use serde_json::Value;
@@ -75,12 +75,15 @@
         let chunks = self.limits.layout.chunks(job.spec.tasks);
         let stored = chunks.iter().filter(|chunk| chunk.done_tasks(job.durably_done()).next().is_some());
         self.writes.queue_bitmap_deletions(stored.map(|chunk| chunk.key(id)));
+        self.meter.add_tasks(job.placed.len());
+        let mut machines: BTreeSet<&MachineId> = BTreeSet::new();
         for (index, machine_id, attempt) in job.places() {
             if let Some(machine) = self.machines.known.get_mut(machine_id) {
                 stop_allocation(machine, &(TaskId { job: *id, index }, attempt), 0.0);
-                self.flush_machine(machine_id);
+                machines.insert(machine_id);
             }
         }
+        machines.into_iter().for_each(|machine_id| self.flush_machine(machine_id));
     }
 
     /// Requests the outcomes of dependencies from the key-value store when a lookup is due.
--- a/src/core/scheduler/mod.rs
+++ b/src/core/scheduler/mod.rs
@@ -63,7 +63,7 @@
 use crate::core::cost::{OperationCounts, OperationMeter};
 use crate::core::election::LeaderRecord;
 use crate::core::jobs::Job;
-use crate::core::machine::Resources;
+use crate::core::machine::{Allocation, Resources};
 use crate::core::provisioning::Provisioner;
 use crate::core::shards::ShardAssignment;
 use crate::ids::{JobId, MachineId, RequestId, Revision, Term};
@@ -245,9 +245,16 @@
     pub fn live_job_counts(&self) -> Vec<JobCount> {
         let mut running: BTreeMap<&JobId, u32> = BTreeMap::new();
         for machine in self.machines.known.values() {
-            for ((task, _), allocation) in &machine.allocations {
-                if matches!(allocation.phase, Some(TaskPhase::Running | TaskPhase::SavingCheckpoint)) {
-                    *running.entry(&task.job).or_default() += 1;
+            // The allocations are sorted by job, so each job is looked up once for a machine.
+            let mut allocations = machine.allocations.iter().peekable();
+            while let Some((task, _)) = allocations.peek().map(|(key, _)| *key) {
+                let of_job = std::iter::from_fn(|| allocations.next_if(|((other, _), _)| other.job == task.job));
+                let is_running = |allocation: &Allocation| {
+                    matches!(allocation.phase, Some(TaskPhase::Running | TaskPhase::SavingCheckpoint))
+                };
+                let count = of_job.filter(|(_, allocation)| is_running(allocation)).count() as u32;
+                if count > 0 {
+                    *running.entry(&task.job).or_default() += count;
                 }
             }
         }
--- a/src/core/scheduler/orders.rs
+++ b/src/core/scheduler/orders.rs
@@ -5,10 +5,11 @@
 use super::effects::{Effect, OrdersResult};
 use super::outstanding_orders::SentOrders;
 use crate::core::machine::{Machine, PendingRun, TaskAttempt};
-use crate::ids::{MachineId, RequestId, TaskId};
+use crate::ids::{JobId, MachineId, RequestId, TaskId};
 use crate::time::MonotonicTime;
 use crate::wire::{DirectOrders, JobKind, Order};
 use log::debug;
+use std::collections::BTreeSet;
 
 /// Maximum number of orders in one message, which may be 64 KiB at most.
 pub(super) const MAX_ORDERS_PER_MESSAGE: usize = 500;
@@ -52,16 +53,32 @@
     pub(super) fn stop_task(&mut self, id: &MachineId, key: &TaskAttempt) {
         let Some(job) = self.jobs.live.get(&key.0.job) else { return };
         let leeway_s = if job.writes_checkpoints() { job.spec.checkpoint_save_s + SAVE_LEEWAY_MARGIN_S } else { 0.0 };
-        let mut stopped = vec![(id.clone(), *key)];
         if job.spec.kind == JobKind::Gang {
-            stopped = job
-                .places()
-                .map(|(index, machine, attempt)| (machine.clone(), (TaskId { job: key.0.job, index }, attempt)))
-                .collect();
+            self.stop_placed_tasks(&key.0.job, leeway_s);
+        } else if let Some(machine) = self.machines.known.get_mut(id) {
+            stop_allocation(machine, key, leeway_s);
         }
-        for (id, key) in stopped {
-            if let Some(machine) = self.machines.known.get_mut(&id) {
-                stop_allocation(machine, &key, leeway_s);
+    }
+
+    /// Stops tasks of a machine, each with its whole gang, with a grace period for saving a checkpoint.
+    pub(super) fn stop_tasks(&mut self, id: &MachineId, keys: &[TaskAttempt]) {
+        let mut stopped_gangs: BTreeSet<JobId> = BTreeSet::new();
+        for key in keys {
+            let job = &key.0.job;
+            let is_gang = self.jobs.live.get(job).is_some_and(|job| job.spec.kind == JobKind::Gang);
+            if !is_gang || stopped_gangs.insert(*job) {
+                self.stop_task(id, key);
+            }
+        }
+    }
+
+    /// Queues orders to stop all tasks of a job that may be on machines.
+    pub(super) fn stop_placed_tasks(&mut self, id: &JobId, leeway_s: f64) {
+        let Some(job) = self.jobs.live.get(id) else { return };
+        self.meter.add_tasks(job.placed.len());
+        for (index, machine_id, attempt) in job.places() {
+            if let Some(machine) = self.machines.known.get_mut(machine_id) {
+                stop_allocation(machine, &(TaskId { job: *id, index }, attempt), leeway_s);
             }
         }
     }
@@ -82,9 +99,7 @@
             })
             .map(|(key, _)| *key)
             .collect();
-        for key in evicted {
-            self.stop_task(id, &key);
-        }
+        self.stop_tasks(id, &evicted);
     }
 
     /// Sends the outboxes of all machines that have no orders in flight.
@@ -107,15 +122,17 @@
         }
         if machine.retiring {
             // A retiring machine gets no new tasks, but stop orders are still sent, as its termination may take long.
-            let unsent_runs: Vec<TaskAttempt> = runs_in(&machine.outbox);
+            let unsent_runs: Vec<TaskAttempt> = machine.outbox.runs();
             self.remove_lost_tasks(id, unsent_runs, false);
         }
         let Some(machine) = self.machines.known.get_mut(id) else { return };
-        // Clear orders wait for the response to the next heartbeat.
-        if machine.outbox.iter().all(|order| matches!(order, Order::Clear { .. })) {
+        // Clear orders wait for the response to the next heartbeat, where the fence may be raised for them: a direct
+        // message with a higher token could overtake a response with a lower one, which the worker would then drop
+        // without renewing its lease.
+        if !machine.outbox.has_direct_orders() {
             return;
         }
-        let orders = take_direct_orders(&mut machine.outbox);
+        let orders = machine.outbox.take_direct_orders(MAX_ORDERS_PER_MESSAGE);
         let token = machine.token(self.term);
         let runs = runs_in(&orders);
         for key in &runs {
@@ -154,20 +171,6 @@
     orders.iter().filter_map(run).collect()
 }
 
-/// Removes the orders of the next direct message from an outbox. Stop orders, which free capacity, come before run
-/// orders. Clear orders stay in the outbox: they go with responses to heartbeats only, where the fence may be raised
-/// for them. A direct message with a higher token could overtake a response with a lower one, which the worker would
-/// then drop without renewing its lease.
-fn take_direct_orders(outbox: &mut Vec<Order>) -> Vec<Order> {
-    let is_run = |order: &Order| matches!(order, Order::Run { .. });
-    let (clears, mut orders): (Vec<Order>, Vec<Order>) =
-        outbox.drain(..).partition(|order| matches!(order, Order::Clear { .. }));
-    orders.sort_by_key(is_run);
-    *outbox = orders.split_off(orders.len().min(MAX_ORDERS_PER_MESSAGE));
-    outbox.extend(clears);
-    orders
-}
-
 /// Queues an order to stop a task with a grace period of `leeway_s` seconds. The allocation stays until it is proven
 /// that the task doesn't run any more.
 pub(super) fn stop_allocation(machine: &mut Machine, key: &TaskAttempt, leeway_s: f64) {
@@ -176,13 +179,11 @@
         return;
     }
     allocation.stop_leeway_s = Some(allocation.stop_leeway_s.map_or(leeway_s, |earlier_s| earlier_s.min(leeway_s)));
-    let run = Order::Run { task: key.0, attempt: key.1 };
-    if let Some(position) = machine.outbox.iter().position(|order| *order == run) {
+    if machine.outbox.remove_run(key) {
         // The run order hasn't been sent, so it is removed from the outbox. The allocation's pending run is marked as
         // answered, so that the allocation is removed when the next heartbeat doesn't list the task.
-        machine.outbox.remove(position);
         allocation.pending_run = Some(PendingRun::Answered);
         return;
     }
-    machine.queue_order(Order::Stop { task: key.0, attempt: key.1, leeway_s });
+    machine.outbox.push(Order::Stop { task: key.0, attempt: key.1, leeway_s });
 }
--- a/src/core/scheduler/placement_checks.rs
+++ b/src/core/scheduler/placement_checks.rs
@@ -1,41 +1,76 @@
 //! The leader's checks of a placement against the cluster state, independent of which controller planned it.
 
 use super::Scheduler;
-use super::planner_view::zone_counts;
+use super::starts::GangPlacement;
 use crate::core::jobs::Job;
 use crate::core::machine::{Machine, Resources};
 use crate::core::provisioning::InstancePool;
 use crate::core::{placement, submissions};
 use crate::ids::{JobId, MachineId};
+use crate::peer::ZoneCount;
 use crate::time::MonotonicTime;
 use crate::wire::JobSpec;
 use std::collections::BTreeSet;
 
 impl Scheduler {
-    /// Whether a task of the job may start on the machine now: the store's state isn't in doubt, the job has no
-    /// pending dependencies, none of its tasks may already run on an unreconciled machine, the machine is schedulable,
-    /// permitted and has unreserved capacity, and `tasks` tasks fit in the team's quota.
-    pub(super) fn may_place(&mut self, now: MonotonicTime, job_id: &JobId, machine_id: &MachineId, tasks: f64) -> bool {
+    /// How many of `tasks` tasks of the job may start on the machine now, one after the other. The machine's
+    /// allocations are examined once, however many tasks are to start.
+    pub(super) fn placeable_tasks(
+        &mut self,
+        now: MonotonicTime,
+        job_id: &JobId,
+        machine_id: &MachineId,
+        tasks: u32,
+    ) -> u32 {
+        let Some(job) = self.jobs.live.get(job_id) else { return 0 };
+        let (team, need) = (job.team, Resources::of_task(&job.spec));
+        let tasks = self.tasks_that_fit(now, job_id, machine_id, &job.zone_counts(), tasks);
+        self.quota.startable(team, &need, tasks, &self.machines.known, &self.catalog.types)
+    }
+
+    /// Whether a whole gang may start now on these machines, each of which is named once.
+    pub(super) fn may_place_gang(&mut self, now: MonotonicTime, job_id: &JobId, parts: &[GangPlacement]) -> bool {
+        let Some(job) = self.jobs.live.get(job_id) else { return false };
+        let mut zones = job.zone_counts();
+        for (machine_id, tasks) in parts {
+            if self.tasks_that_fit(now, job_id, machine_id, &zones, *tasks) < *tasks {
+                return false;
+            }
+            let zone = self.machines.known.get(machine_id).map(|machine| machine.zone);
+            zones.extend(zone.map(|zone| ZoneCount { zone, count: *tasks }));
+        }
+        let (team, need, total) = (job.team, Resources::of_task(&job.spec), job.spec.tasks);
+        self.fits_quota(team, &need, f64::from(total))
+    }
+
+    /// How many of `tasks` tasks of the job may start on the machine now, regardless of the team's quota: none if the
+    /// store's state is in doubt, the job has pending dependencies or possibly runs on an unreconciled machine, or the
+    /// machine is not schedulable or not permitted, and otherwise as many as its unreserved capacity and the zone
+    /// constraint allow. `zones` says how many of the job's tasks are in each zone.
+    fn tasks_that_fit(
+        &self,
+        now: MonotonicTime,
+        job_id: &JobId,
+        machine_id: &MachineId,
+        zones: &[ZoneCount],
+        tasks: u32,
+    ) -> u32 {
         let (Some(job), Some(machine)) = (self.jobs.live.get(job_id), self.machines.known.get(machine_id)) else {
-            return false;
+            return 0;
         };
         let spec = &job.spec;
-        let need = Resources::of_task(spec);
         self.meter.add_tasks(machine.allocations.len());
-        if spec.spread || spec.one_zone {
-            self.meter.add_tasks(job.placed.len());
-        }
-        let free = self.unreserved_capacity(machine_id, machine, Some(job_id));
-        let placed = zone_counts(job, &self.machines.known);
-        let team = job.team;
-        !self.in_doubt
+        let may_start = !self.in_doubt
             && !job.is_waiting()
             && machine.is_schedulable(now, self.heartbeat_timeout())
             && !self.held_back(job)
-            && free.covers(&need)
-            && self.permits_machine(spec, machine)
-            && placement::zone_allowed(spec.spread, spec.one_zone, spec.tasks, &placed, machine.zone)
-            && self.fits_quota(team, &need, tasks)
+            && self.permits_machine(spec, machine);
+        if !may_start {
+            return 0;
+        }
+        let in_zone = placement::zone_allowance(spec.spread, spec.one_zone, spec.tasks, zones, machine.zone);
+        let free = self.unreserved_capacity(machine_id, machine, Some(job_id));
+        free.count_covered(&Resources::of_task(spec), tasks.min(in_zone))
     }
 
     /// Whether `tasks` more tasks with this need fit in the team's quota.
--- a/src/core/scheduler/plan_commit.rs
+++ b/src/core/scheduler/plan_commit.rs
@@ -5,7 +5,7 @@
 use super::planner_view::{PlannedJob, PlannerView};
 use super::preemption_index::PreemptionSearch;
 use super::starts::GangPlacement;
-use crate::ids::{JobId, MachineId};
+use crate::ids::{Attempt, JobId, MachineId};
 use crate::peer::{JobView, Placement, PlanOutput};
 use crate::time::MonotonicTime;
 use crate::wire::{JobKind, Priority};
@@ -84,30 +84,22 @@
         self.preempt_in_permitted_pools(now, search, &planned.job.id, PlacementTarget::ImageHolders, planned.tasks)
     }
 
-    /// Starts up to `tasks` of a job's ready tasks on the planned machine, until one of them may not be placed there.
+    /// Starts up to `tasks` of a job's ready tasks on the planned machine, as many as may be placed there.
     fn start_planned_tasks(&mut self, now: MonotonicTime, planned: &PlannedPlacement, tasks: u32) {
         let PlannedJob { id, reclaimed_only } = planned.job;
+        let (Some(job), Some(machine)) = (self.jobs.live.get(id), self.machines.known.get(planned.machine)) else {
+            return;
+        };
+        let machine_type = &self.catalog.types[machine.kind];
+        let tasks = self.gpus.tasks_within_headroom(job, planned.machine, machine, machine_type, tasks);
+        let tasks = self.placeable_tasks(now, id, planned.machine, tasks);
         let Some(job) = self.jobs.live.get(id) else { return };
-        let candidates = if *reclaimed_only { &job.reclaimed } else { &job.ready };
-        let indices: Vec<u32> = candidates
-            .iter()
-            .filter(|index| *reclaimed_only || !job.reclaimed.contains(index))
-            .filter(|index| job.ready.contains(index))
-            .take(tasks as usize)
-            .copied()
-            .collect();
-        for index in indices {
-            let (Some(job), Some(machine)) = (self.jobs.live.get(id), self.machines.known.get(planned.machine)) else {
-                break;
-            };
-            if !self.gpus.fits_headroom(job, planned.machine, machine, &self.catalog.types[machine.kind])
-                || !self.may_place(now, id, planned.machine, 1.0)
-            {
-                break;
-            }
-            let attempt = self.next_attempt();
-            self.start_task(now, id, index, planned.machine, attempt);
-        }
+        let indices: Vec<u32> = match reclaimed_only {
+            true => job.reclaimed.iter().take(tasks as usize).collect(),
+            false => job.ready.difference(&job.reclaimed).take(tasks as usize).collect(),
+        };
+        let started: Vec<(u32, Attempt)> = indices.into_iter().map(|index| (index, self.next_attempt())).collect();
+        self.start_tasks(now, id, planned.machine, &started);
     }
 
     /// Whether an urgent job's start-time SLO would be missed on this machine only because the image must be fetched
--- a/src/core/scheduler/planner_view.rs
+++ b/src/core/scheduler/planner_view.rs
@@ -12,10 +12,10 @@
 use crate::core::machine::{Machine, Resources};
 use crate::core::provisioning::InstancePool;
 use crate::ids::{JobId, MachineId};
-use crate::peer::{MachineTypeView, PlanInput, ProvisionOffer, VERSION, ZoneCount};
+use crate::peer::{MachineTypeView, PlanInput, ProvisionOffer, VERSION};
 use crate::time::{MonotonicTime, WallTime};
 use crate::wire::MachineType;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap};
 
 /// The batch size (the maximum number of tasks that a planner places in one round on machines that are up) is the
 /// number of ready tasks divided by this, within `batch_min` and `batch_max` of the tuning.
@@ -148,17 +148,3 @@
         boot_s: machine_type.boot_s,
     }
 }
-
-/// How many of a job's tasks are possibly running in each zone. Empty if the job has no zone constraint.
-pub(super) fn zone_counts(job: &Job, machines: &BTreeMap<MachineId, Machine>) -> Vec<ZoneCount> {
-    if !job.spec.spread && !job.spec.one_zone {
-        return Vec::new();
-    }
-    let mut zones: BTreeMap<u32, u32> = BTreeMap::new();
-    for (_, machine, _) in job.places() {
-        if let Some(machine) = machines.get(machine) {
-            *zones.entry(machine.zone).or_default() += 1;
-        }
-    }
-    zones.into_iter().map(|(zone, count)| ZoneCount { zone, count }).collect()
-}
--- a/src/core/scheduler/planner_view/jobs.rs
+++ b/src/core/scheduler/planner_view/jobs.rs
@@ -1,6 +1,6 @@
 //! The jobs of a planner view.
 
-use super::{PlannedJob, zone_counts};
+use super::PlannedJob;
 use crate::config::{JobAges, next_slo_deadline};
 use crate::core::jobs::{Job, priority_number};
 use crate::core::scheduler::Scheduler;
@@ -80,12 +80,12 @@
         if gang && (job.gang.is_some() || !job.placed.is_empty()) {
             return None;
         }
-        let reserved = self.reservations.count_for_job(id) as u32;
+        let reserved = self.reservations.tasks_for_job(id);
         let all = (job.ready.len() as u32).saturating_sub(reserved);
         if all == 0 || gang && reserved > 0 {
             return None;
         }
-        let reclaimed = job.reclaimed.iter().filter(|index| job.ready.contains(index)).count() as u32;
+        let reclaimed = job.reclaimed.len() as u32;
         Some(ReadyTasks { all, reclaimed: reclaimed.min(all) })
     }
 
@@ -123,7 +123,7 @@
             service,
             age_s: ages.since_startable_s,
             excess_cost: job.excess_cost,
-            placed: zone_counts(job, &self.machines.known),
+            placed: job.zone_counts(),
             avoided_machines: if at_fault { Vec::new() } else { avoided_machines(job, context) },
             guaranteed,
             may_scale_out: !at_fault && (job.priority() <= Priority::High || context.backlog_s > SCALE_OUT_BACKLOG_S),
--- a/src/core/scheduler/preemption.rs
+++ b/src/core/scheduler/preemption.rs
@@ -3,7 +3,7 @@
 use super::Scheduler;
 use super::eviction::{PlacementTarget, Preemptor};
 use super::gang_reservations::PartialCapacity;
-use super::planner_view::{PlannedJob, PlannerView, zone_counts};
+use super::planner_view::{PlannedJob, PlannerView};
 use super::preemption_index::{PreemptionCandidates, PreemptionSearch};
 use crate::core::jobs::{Job, priority_number};
 use crate::core::machine::Resources;
@@ -245,11 +245,13 @@
     fn zones_in_use(&self, id: &JobId) -> Vec<ZoneCount> {
         let has_zone_constraint = |job: &&Job| job.spec.spread || job.spec.one_zone;
         let Some(job) = self.jobs.live.get(id).filter(has_zone_constraint) else { return Vec::new() };
-        let mut zones = zone_counts(job, &self.machines.known);
-        let reserved =
-            self.reservations.for_job(id).filter_map(|reservation| self.machines.known.get(&reservation.machine));
-        zones.extend(reserved.map(|machine| ZoneCount { zone: machine.zone, count: 1 }));
-        self.meter.add_tasks(job.placed.len() + zones.len());
+        let mut zones = job.zone_counts();
+        let reserved = self.reservations.for_job(id).filter_map(|reservation| {
+            let zone = self.machines.known.get(&reservation.machine)?.zone;
+            Some(ZoneCount { zone, count: reservation.tasks })
+        });
+        zones.extend(reserved);
+        self.meter.add_reservations(zones.len());
         zones
     }
 }
--- a/src/core/scheduler/quota.rs
+++ b/src/core/scheduler/quota.rs
@@ -79,6 +79,18 @@
         }
     }
 
+    /// How many of `tasks` more tasks with this need the team's limit permits to start one by one.
+    pub(super) fn startable(
+        &mut self,
+        team: u32,
+        need: &Resources,
+        tasks: u32,
+        machines: &BTreeMap<MachineId, Machine>,
+        types: &[MachineType],
+    ) -> u32 {
+        (0..tasks).find(|started| !self.fits(team, need, f64::from(started + 1), machines, types)).unwrap_or(tasks)
+    }
+
     /// Whether the team's limit permits starting `tasks` more tasks with this need. An unknown team may not start any
     /// task.
     pub(super) fn fits(
--- a/src/core/scheduler/reservations.rs
+++ b/src/core/scheduler/reservations.rs
@@ -3,8 +3,9 @@
 //! it is free, and would be preempted in turn.
 
 use super::Scheduler;
+use super::starts::{GangPlacement, merge_by_machine};
 use crate::core::machine::{Machine, Resources};
-use crate::ids::{JobId, MachineId};
+use crate::ids::{Attempt, JobId, MachineId};
 use crate::time::{Millis, MonotonicTime};
 use crate::wire::JobKind;
 use std::collections::{BTreeMap, BTreeSet};
@@ -18,14 +19,24 @@
 /// Sequence number of a reservation. Reservations expire in the order in which they were made.
 type ReservationNumber = u64;
 
-/// Capacity of a machine that is reserved for one task of a job.
+/// Capacity of a machine that is reserved for tasks of a job.
 pub(super) struct Reservation {
     pub(super) machine: MachineId,
     pub(super) job: JobId,
-    pub(super) need: Resources,
+    /// What one of the tasks needs.
+    need: Resources,
+    /// How many tasks the capacity is for.
+    pub(super) tasks: u32,
     expires_at: MonotonicTime,
 }
 
+impl Reservation {
+    /// The reserved capacity.
+    pub(super) fn capacity(&self) -> Resources {
+        self.need.times(self.tasks)
+    }
+}
+
 /// All reservations. Indexes by machine and by job make the cost of a lookup proportional to its result.
 #[derive(Default)]
 pub(super) struct Reservations {
@@ -58,9 +69,9 @@
         self.resolve(self.by_job.get(job))
     }
 
-    /// Number of reservations of a job.
-    pub(super) fn count_for_job(&self, job: &JobId) -> usize {
-        self.by_job.get(job).map_or(0, BTreeSet::len)
+    /// Number of tasks of a job that capacity is reserved for.
+    pub(super) fn tasks_for_job(&self, job: &JobId) -> u32 {
+        self.for_job(job).map(|reservation| reservation.tasks).sum()
     }
 
     fn resolve<'a>(
@@ -87,10 +98,24 @@
 
     /// Reserves capacity for one task of the job. The reservation expires after [`RESERVATION_TTL`].
     pub(super) fn add(&mut self, now: MonotonicTime, machine: MachineId, job: JobId, need: Resources) {
+        self.add_tasks(now, machine, job, need, 1);
+    }
+
+    /// Reserves capacity for `tasks` tasks of the job that need `need` each, as one reservation, which expires after
+    /// [`RESERVATION_TTL`].
+    pub(super) fn add_tasks(
+        &mut self,
+        now: MonotonicTime,
+        machine: MachineId,
+        job: JobId,
+        need: Resources,
+        tasks: u32,
+    ) {
         self.last_number += 1;
         self.by_machine.entry(machine.clone()).or_default().insert(self.last_number);
         self.by_job.entry(job).or_default().insert(self.last_number);
-        self.by_number.insert(self.last_number, Reservation { machine, job, need, expires_at: now + RESERVATION_TTL });
+        let expires_at = now + RESERVATION_TTL;
+        self.by_number.insert(self.last_number, Reservation { machine, job, need, tasks, expires_at });
     }
 
     /// Removes the expired reservations.
@@ -102,13 +127,21 @@
         }
     }
 
-    /// Removes the job's oldest reservation on the machine, as one of its tasks starts there.
-    pub(super) fn use_one(&mut self, job: &JobId, machine: &MachineId) {
-        let on_machine = self.by_machine.get(machine);
-        let of_job = self.by_job.get(job);
-        let oldest = on_machine.zip(of_job).and_then(|(a, b)| a.intersection(b).next().copied());
-        if let Some(number) = oldest {
-            self.remove(number);
+    /// Gives up the job's oldest reserved capacity on the machine, as `tasks` of its tasks start there.
+    pub(super) fn use_tasks(&mut self, job: &JobId, machine: &MachineId, mut tasks: u32) {
+        let (Some(on_machine), Some(of_job)) = (self.by_machine.get(machine), self.by_job.get(job)) else { return };
+        let numbers: Vec<ReservationNumber> = on_machine.intersection(of_job).copied().collect();
+        for number in numbers {
+            let Some(reservation) = self.by_number.get_mut(&number) else { continue };
+            let used = tasks.min(reservation.tasks);
+            reservation.tasks -= used;
+            tasks -= used;
+            if reservation.tasks == 0 {
+                self.remove(number);
+            }
+            if tasks == 0 {
+                return;
+            }
         }
     }
 
@@ -160,7 +193,7 @@
     ) -> Resources {
         let mut free = machine.free(&self.catalog.types[machine.kind]);
         let reservations = self.reservations.on_machine(id).filter(|reservation| except_job != Some(&reservation.job));
-        reservations.for_each(|reservation| free.sub(&reservation.need));
+        reservations.for_each(|reservation| free.sub(&reservation.capacity()));
         free
     }
 
@@ -169,13 +202,16 @@
         self.reservations.expire(now);
         let mut done: BTreeSet<JobId> = BTreeSet::new();
         for id in self.reservations.next_jobs(MAX_RESERVATIONS_PER_TICK) {
-            self.meter.add_reservations(self.reservations.count_for_job(&id));
-            let machines: Vec<MachineId> =
-                self.reservations.for_job(&id).map(|reservation| reservation.machine.clone()).collect();
+            let parts: Vec<GangPlacement> = self
+                .reservations
+                .for_job(&id)
+                .map(|reservation| (reservation.machine.clone(), reservation.tasks))
+                .collect();
+            self.meter.add_reservations(parts.len());
             let used = match self.jobs.live.get(&id).map(|job| job.spec.kind) {
                 None => ReservationUse::Done,
-                Some(JobKind::Gang) => self.start_reserved_gang(now, &id, machines),
-                Some(JobKind::Array | JobKind::Service) => self.start_reserved_tasks(now, &id, machines),
+                Some(JobKind::Gang) => self.start_reserved_gang(now, &id, parts),
+                Some(JobKind::Array | JobKind::Service) => self.start_reserved_tasks(now, &id, parts),
             };
             if used == ReservationUse::Done {
                 done.insert(id);
@@ -185,38 +221,50 @@
     }
 
     /// Starts a gang once all its tasks have reservations and may start.
-    fn start_reserved_gang(&mut self, now: MonotonicTime, id: &JobId, mut machines: Vec<MachineId>) -> ReservationUse {
+    fn start_reserved_gang(&mut self, now: MonotonicTime, id: &JobId, parts: Vec<GangPlacement>) -> ReservationUse {
         let Some(job) = self.jobs.live.get(id) else { return ReservationUse::Done };
         let tasks = job.spec.tasks;
-        machines.truncate(tasks as usize);
         if job.gang.is_some() || !job.placed.is_empty() || job.ready.len() as u32 != tasks {
             return ReservationUse::Done;
         }
-        if machines.len() as u32 != tasks
-            || !machines.iter().all(|machine| self.may_place(now, id, machine, f64::from(tasks)))
-        {
+        let parts = merge_by_machine(first_tasks(parts, tasks));
+        let reserved: u32 = parts.iter().map(|(_, tasks)| tasks).sum();
+        if reserved != tasks || !self.may_place_gang(now, id, &parts) {
             return ReservationUse::Pending;
         }
-        let parts: Vec<(MachineId, u32)> = machines.into_iter().map(|machine| (machine, 1)).collect();
         self.start_gang(now, id, &parts);
         ReservationUse::Done
     }
 
     /// Starts a ready task for each reservation whose machine may take it.
-    fn start_reserved_tasks(&mut self, now: MonotonicTime, id: &JobId, machines: Vec<MachineId>) -> ReservationUse {
-        for machine in machines {
-            let Some(index) = self.jobs.live.get(id).and_then(|job| job.ready.first().copied()) else {
+    fn start_reserved_tasks(&mut self, now: MonotonicTime, id: &JobId, parts: Vec<GangPlacement>) -> ReservationUse {
+        for (machine, tasks) in parts {
+            let Some(job) = self.jobs.live.get(id).filter(|job| !job.ready.is_empty()) else {
                 return ReservationUse::Done;
             };
-            if self.may_place(now, id, &machine, 1.0) {
-                self.reservations.use_one(id, &machine);
-                let attempt = self.next_attempt();
-                self.start_task(now, id, index, &machine, attempt);
+            let indices: Vec<u32> = job.ready.iter().take(tasks as usize).collect();
+            let placeable = self.placeable_tasks(now, id, &machine, indices.len() as u32);
+            self.reservations.use_tasks(id, &machine, placeable);
+            let indices = indices.into_iter().take(placeable as usize);
+            let started: Vec<(u32, Attempt)> = indices.map(|index| (index, self.next_attempt())).collect();
+            if !started.is_empty() {
+                self.start_tasks(now, id, &machine, &started);
             }
         }
         ReservationUse::Pending
     }
 }
 
+/// The first parts with `tasks` tasks together, the last of them cut to that.
+fn first_tasks(parts: Vec<GangPlacement>, tasks: u32) -> Vec<GangPlacement> {
+    let mut left = tasks;
+    let cut = |(machine, tasks): GangPlacement| {
+        let taken = tasks.min(left);
+        left -= taken;
+        (taken > 0).then_some((machine, taken))
+    };
+    parts.into_iter().map_while(cut).collect()
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/core/scheduler/scale_in/tests.rs
+++ b/src/core/scheduler/scale_in/tests.rs
@@ -28,7 +28,7 @@
         ("unreconciled", |machine, _| machine.reconciled = false),
         ("not up", |machine, _| machine.up = false),
         ("already retiring", |machine, _| machine.retiring = true),
-        ("orders queued", |machine, order| machine.queue_order(order)),
+        ("orders queued", |machine, order| machine.outbox.push(order)),
         ("orders in flight", |machine, _| machine.orders_in_flight = Some(crate::ids::RequestId(1))),
     ];
     for (case, change) in cases {
--- a/src/core/scheduler/starts.rs
+++ b/src/core/scheduler/starts.rs
@@ -1,12 +1,13 @@
 //! Starting single tasks and whole gangs on machines that were chosen for them.
 
 use super::Scheduler;
-use crate::core::jobs::GangRun;
-use crate::core::machine::{Allocation, Machine, Resources};
+use crate::core::jobs::{GangRun, TaskPlace};
+use crate::core::machine::{Allocation, MIN_REMAINING_FETCH_S, Machine, Resources};
 use crate::ids::{Attempt, FencingToken, JobId, MachineId, TaskId};
 use crate::time::MonotonicTime;
 use crate::wire::{JobSpec, Order};
 use log::debug;
+use std::collections::HashMap;
 
 /// Stands for an image that has no number in the catalog yet.
 const UNKNOWN_IMAGE: u32 = u32::MAX;
@@ -45,51 +46,32 @@
     /// the gang is started.
     pub(super) fn start_gang(&mut self, now: MonotonicTime, job_id: &JobId, parts: &[GangPlacement]) {
         let attempt = self.next_attempt();
-        let Some(job) = self.jobs.live.get_mut(job_id) else { return };
-        job.gang = Some(GangRun { attempt, broken: false });
-        let total = job.spec.tasks;
-        let machines = parts.iter().flat_map(|(machine, tasks)| std::iter::repeat_n(machine, *tasks as usize));
-        for (index, machine) in (0..).zip(machines) {
-            if !self.may_place(now, job_id, machine, f64::from(total - index)) {
-                self.revert_gang_start(job_id);
-                return;
-            }
-            self.start_task(now, job_id, index, machine, attempt);
+        if !self.may_place_gang(now, job_id, parts) {
+            return;
         }
-    }
-
-    /// Undoes the start of a gang. Only valid while none of its run orders has been sent.
-    fn revert_gang_start(&mut self, job_id: &JobId) {
         let Some(job) = self.jobs.live.get_mut(job_id) else { return };
-        job.gang = None;
-        let places: Vec<(u32, MachineId, Attempt)> =
-            job.places().map(|(index, machine, attempt)| (index, machine.clone(), attempt)).collect();
-        job.placed.clear();
-        for (index, machine, attempt) in places {
-            let task = TaskId { job: *job_id, index };
-            if let Some(machine) = self.machines.known.get_mut(&machine) {
-                machine.allocations.remove(&(task, attempt));
-                let run = Order::Run { task, attempt };
-                machine.outbox.retain(|order| *order != run);
-            }
-            job.requeue(index, false);
+        job.gang = Some(GangRun { attempt, broken: false });
+        let mut indices = 0..job.spec.tasks;
+        for (machine, tasks) in parts {
+            let tasks: Vec<(u32, Attempt)> =
+                indices.by_ref().take(*tasks as usize).map(|index| (index, attempt)).collect();
+            self.start_tasks(now, job_id, machine, &tasks);
         }
     }
 
-    /// Records a task attempt in the cluster state and queues its run order. A task attempt is always recorded before
-    /// its run order is sent, so that no task can run that isn't accounted for.
-    pub(super) fn start_task(
+    /// Records task attempts of a job on a machine in the cluster state and queues their run orders. A task attempt is
+    /// always recorded before its run order is sent, so that no task can run that isn't accounted for.
+    pub(super) fn start_tasks(
         &mut self,
         now: MonotonicTime,
         job_id: &JobId,
-        index: u32,
         machine_id: &MachineId,
-        attempt: Attempt,
+        tasks: &[(u32, Attempt)],
     ) {
         let (Some(job), Some(machine)) = (self.jobs.live.get(job_id), self.machines.known.get(machine_id)) else {
             return;
         };
-        self.meter.add_tasks(machine.allocations.len() + machine.outbox.len());
+        self.meter.add_tasks(machine.allocations.len() + tasks.len());
         let (image, fetch_s) = (self.image_number(&job.spec), self.image_fetch_s(now, &job.spec, machine));
         let run_s = self.jobs.expected_run_s(&job.spec);
         let (Some(job), Some(machine)) = (self.jobs.live.get_mut(job_id), self.machines.known.get_mut(machine_id))
@@ -97,7 +79,8 @@
             return;
         };
         machine.cache_image(image, job.spec.image_gb, self.catalog.types[machine.kind].cache_gb);
-        let allocation = Allocation {
+        machine.idle_since = None;
+        let mut allocation = Allocation {
             need: Resources::of_task(&job.spec),
             team: Some(job.team),
             priority: job.priority(),
@@ -113,12 +96,31 @@
             fetch_s,
             run_s,
         };
-        job.place(index, machine_id, attempt);
-        self.quota.record_start(job.team, &allocation.need);
-        let task = TaskId { job: *job_id, index };
-        debug!("start: task={task} attempt={attempt} machine={machine_id}");
-        machine.queue_order(Order::Run { task, attempt });
-        machine.allocations.insert((task, attempt), allocation);
-        machine.idle_since = None;
+        for (index, attempt) in tasks {
+            let (task, attempt) = (TaskId { job: *job_id, index: *index }, *attempt);
+            debug!("start: task={task} attempt={attempt} machine={machine_id}");
+            job.place(*index, TaskPlace { machine: machine_id.clone(), zone: machine.zone, attempt });
+            self.quota.record_start(job.team, &allocation.need);
+            machine.outbox.push(Order::Run { task, attempt });
+            machine.allocations.insert((task, attempt), allocation.clone());
+            // The following tasks share the fetch that the first one has started.
+            if fetch_s > 0.0 {
+                allocation.fetch_s = fetch_s.max(MIN_REMAINING_FETCH_S);
+            }
+        }
+    }
+}
+
+/// Adds up the tasks of a gang that are to start on the same machine, so that each machine is named once.
+pub(super) fn merge_by_machine(parts: Vec<GangPlacement>) -> Vec<GangPlacement> {
+    let mut merged: Vec<GangPlacement> = Vec::new();
+    let mut positions: HashMap<MachineId, usize> = HashMap::new();
+    for (machine, tasks) in parts {
+        let position = *positions.entry(machine.clone()).or_insert(merged.len());
+        match merged.get_mut(position) {
+            Some((_, total)) => *total += tasks,
+            None => merged.push((machine, tasks)),
+        }
     }
+    merged
 }
--- a/src/core/scheduler/task_exit.rs
+++ b/src/core/scheduler/task_exit.rs
@@ -1,12 +1,12 @@
 //! The end of tasks: exits that workers report, tasks that are proven lost, and stopping the rest of a gang.
 
 use super::Scheduler;
-use super::orders::stop_allocation;
 use crate::core::machine::{QUARANTINE_PERIOD, TaskAttempt};
 use crate::ids::{Attempt, JobId, MachineId, TaskId};
 use crate::time::{Millis, MonotonicTime};
-use crate::wire::{ExitCause, JobKind, Order};
+use crate::wire::{ExitCause, JobKind};
 use log::{debug, info};
+use std::collections::BTreeSet;
 
 /// A machine is quarantined (gets no new tasks) for [`QUARANTINE_PERIOD`] after this many consecutive task failures
 /// that weren't their jobs' fault.
@@ -71,9 +71,7 @@
         let Some(job) = self.jobs.live.get_mut(&task.job) else { return };
         if job.spec.kind == JobKind::Gang {
             // A gang is done as a whole as soon as one of its tasks reports success.
-            for index in 0..job.spec.tasks {
-                job.set_done(index);
-            }
+            job.set_all_done();
             self.update_machine_after_success(now, id, None);
             return;
         }
@@ -156,8 +154,7 @@
         let Some(machine) = self.machines.known.get_mut(id) else { return };
         let Some(allocation) = machine.allocations.remove(key) else { return };
         let (task, attempt) = key;
-        let run = Order::Run { task: *task, attempt: *attempt };
-        machine.outbox.retain(|order| *order != run);
+        machine.outbox.remove_run(key);
         self.rounds.request();
         if allocation.has_exited() {
             return;
@@ -179,15 +176,11 @@
             job.gang = None;
             return;
         }
-        let Some(run) = job.gang.as_mut().filter(|run| run.attempt == attempt) else { return };
+        // The stops of a broken attempt are queued already. The responses to heartbeats repeat them.
+        let Some(run) = job.gang.as_mut().filter(|run| run.attempt == attempt && !run.broken) else { return };
         run.broken = true;
-        let placed: Vec<(u32, MachineId, Attempt)> =
-            job.places().map(|(index, machine, attempt)| (index, machine.clone(), attempt)).collect();
-        for (index, machine_id, attempt) in placed {
-            if let Some(machine) = self.machines.known.get_mut(&machine_id) {
-                stop_allocation(machine, &(TaskId { job: *id, index }, attempt), 0.0);
-            }
-            self.flush_machine(&machine_id);
-        }
+        let machines: BTreeSet<MachineId> = job.places().map(|(_, machine, _)| machine.clone()).collect();
+        self.stop_placed_tasks(id, 0.0);
+        machines.iter().for_each(|machine| self.flush_machine(machine));
     }
 }
--- a/src/core/scheduler/task_status.rs
+++ b/src/core/scheduler/task_status.rs
@@ -3,7 +3,7 @@
 use super::Scheduler;
 use super::orders::stop_allocation;
 use super::task_exit::TaskExit;
-use crate::core::jobs::GangRun;
+use crate::core::jobs::{GangRun, TaskPlace};
 use crate::core::machine::{Allocation, Resources, TaskAttempt};
 use crate::ids::{FencingToken, MachineId};
 use crate::time::MonotonicTime;
@@ -57,7 +57,7 @@
             _ => true,
         };
         if may_clear && let Some(machine) = self.machines.known.get_mut(id) {
-            machine.queue_order(Order::Clear { task: *task, attempt: *attempt });
+            machine.outbox.push(Order::Clear { task: *task, attempt: *attempt });
         }
     }
 
@@ -85,6 +85,7 @@
         let (task, attempt) = key;
         self.quota.invalidate_usage();
         let Some(machine) = self.machines.known.get_mut(id) else { return };
+        let zone = machine.zone;
         let mut allocation = unknown_allocation(now, machine.token(self.term));
         if let Some(job) = self.jobs.live.get(&task.job).filter(|job| task.index < job.spec.tasks) {
             if let Some(places) = job.placed.get(&task.index)
@@ -104,7 +105,7 @@
             if listed.phase != TaskPhase::Exited
                 && let Some(job) = self.jobs.live.get_mut(&task.job)
             {
-                job.place(task.index, id, *attempt);
+                job.place(task.index, TaskPlace { machine: id.clone(), zone, attempt: *attempt });
                 if job.spec.kind == JobKind::Gang {
                     match &mut job.gang {
                         None => job.gang = Some(GangRun { attempt: *attempt, broken: false }),
--- a/src/core/scheduler/tests.rs
+++ b/src/core/scheduler/tests.rs
@@ -3,6 +3,7 @@
 mod copies;
 mod dependencies;
 mod digest;
+mod huge_jobs;
 mod leaders;
 mod machines;
 mod operation_bounds;
@@ -47,6 +48,8 @@
     committed: Vec<Transaction>,
     /// Operation counts of the tick with the most operations since the last reset of this field.
     max_tick_operations: OperationCounts,
+    /// Operation counts of the input of any kind with the most operations since the last reset of this field.
+    max_input_operations: OperationCounts,
     /// All direct orders that have reached a worker, with the worker's endpoint, oldest first.
     delivered_orders: Vec<(String, DirectOrders)>,
     /// Contents of the key-value store: the value of each key and the store revision at which the value was written.
@@ -137,6 +140,7 @@
             term: TERM,
             committed: Vec::new(),
             max_tick_operations: OperationCounts::default(),
+            max_input_operations: OperationCounts::default(),
         }
     }
 
@@ -265,8 +269,12 @@
     fn send_heartbeat(&mut self, name: &str) -> bool {
         let Some(heartbeat) = self.workers.get_mut(name) else { return false };
         heartbeat.sequence.0 += 1;
+        let before = self.scheduler.operation_counts();
         let response = self.scheduler.on_heartbeat(MonotonicTime(self.now), heartbeat).ok();
+        let operations = self.scheduler.operation_counts().since(&before);
+        self.record_input(operations);
         let reachable = !self.inbound_partitioned.contains(name);
+        let Some(heartbeat) = self.workers.get_mut(name) else { return false };
         if let Some(response) = response.as_ref().filter(|response| response.token >= heartbeat.token && reachable) {
             heartbeat.token = response.token;
             SchedulerHarness::execute_orders(heartbeat, &response.orders);
@@ -302,6 +310,21 @@
         if operations.total() > self.max_tick_operations.total() {
             self.max_tick_operations = operations;
         }
+        self.record_input(operations);
+    }
+
+    /// Updates [`SchedulerHarness::max_input_operations`].
+    fn record_input(&mut self, operations: OperationCounts) {
+        if operations.total() > self.max_input_operations.total() {
+            self.max_input_operations = operations;
+        }
+    }
+
+    /// Gives the leader an input, and updates [`SchedulerHarness::max_input_operations`].
+    fn give_input(&mut self, input: impl FnOnce(&mut Scheduler)) {
+        let before = self.scheduler.operation_counts();
+        input(&mut self.scheduler);
+        self.record_input(self.scheduler.operation_counts().since(&before));
     }
 
     fn perform_effect(&mut self, effect: Effect) {
@@ -309,7 +332,7 @@
         match effect {
             Effect::Orders { request, endpoint, body } => {
                 let result = self.send_orders(&endpoint, &body);
-                self.scheduler.on_orders_result(now, request, result);
+                self.give_input(|scheduler| scheduler.on_orders_result(now, request, result));
             }
             Effect::Commit { request, transaction } => match &mut self.unanswered_transactions {
                 Some(unanswered) => {
