Give a machine no more tasks than its report can list within 64 KiB

Cause: a machine's list of tasks had no bound but its processors and memory, and a task may need next to nothing of both.

Now a task slot is a resource beside processors, GPUs and memory: 504 a machine, 64 KiB less 1 KiB for the rest of the report, divided by the 127 bytes of the longest entry with spaces, rounded to 128. An exited task keeps its slot until it is cleared. As a resource it counts wherever capacity does: planners' views (a new field, absent from leaders of earlier versions), checks at the start, reservations, preemption, gangs, consolidation, adoption by a new leader.

--- a/src/core/allocation.rs
+++ b/src/core/allocation.rs
@@ -21,7 +21,7 @@
 /// A task that may be on a machine, and the resources that it uses there.
 #[derive(Clone, Debug)]
 pub struct Allocation {
-    /// The resources that the task uses; zero if its job is unknown or has ended.
+    /// The resources that the task uses; only a task slot if its job is unknown or has ended.
     pub need: Resources,
     /// Index of the job's team in the settings. `None` if the job is unknown or has ended, so that the task is known
     /// only from a worker's task list.
--- a/src/core/machine.rs
+++ b/src/core/machine.rs
@@ -266,11 +266,11 @@
         InstancePool { kind: self.kind, zone: self.zone, spot: self.spot }
     }
 
-    /// The resources allocated to tasks that may be on the machine and haven't exited.
+    /// The resources allocated to tasks that may be on the machine. An exited task only takes a task slot.
     pub fn used(&self) -> Resources {
         let mut used = Resources::default();
-        for allocation in self.allocations.values().filter(|allocation| !allocation.has_exited()) {
-            used.add(&allocation.need);
+        for allocation in self.allocations.values() {
+            used.add(if allocation.has_exited() { &Resources::TASK_SLOT } else { &allocation.need });
         }
         used
     }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -19,6 +19,7 @@
 pub mod shards;
 pub mod submissions;
 pub mod task_set;
+pub mod task_slots;
 
 #[cfg(test)]
 mod election_simulation;
--- a/src/core/placement/candidates.rs
+++ b/src/core/placement/candidates.rs
@@ -2,6 +2,7 @@
 
 use super::TOLERANCE;
 use crate::core::machine::Resources;
+use crate::core::task_slots::MAX_TASKS_PER_MACHINE;
 use crate::peer::{JobView, MachineTypeView, MachineView, PlanInput, ProvisionOffer};
 
 /// Jobs whose priority number is at most this (prod and high) are urgent: they are not preempted for GPU jobs.
@@ -12,14 +13,19 @@
 impl From<&JobView> for Resources {
     /// The resources that one task of the job needs.
     fn from(job: &JobView) -> Resources {
-        Resources { cpus: job.cpus, gpus: job.gpus, memory_gb: job.memory_gb }
+        Resources { cpus: job.cpus, gpus: job.gpus, memory_gb: job.memory_gb, ..Resources::TASK_SLOT }
     }
 }
 
 impl From<&MachineTypeView> for Resources {
     /// The capacity of an empty machine of the type.
     fn from(machine_type: &MachineTypeView) -> Resources {
-        Resources { cpus: machine_type.cpus, gpus: machine_type.gpus, memory_gb: machine_type.memory_gb }
+        Resources {
+            cpus: machine_type.cpus,
+            gpus: machine_type.gpus,
+            memory_gb: machine_type.memory_gb,
+            task_slots: f64::from(MAX_TASKS_PER_MACHINE),
+        }
     }
 }
 
@@ -63,8 +69,15 @@
 impl Candidate {
     /// The candidate for an existing or requested machine, which has this index among the machines of the input.
     pub(super) fn from_machine(input: &PlanInput, index: usize, machine: &MachineView) -> Candidate {
-        let headroom = |cpus: f64, memory_gb: f64| Resources { cpus, gpus: 0.0, memory_gb };
-        let free = Resources { cpus: machine.free_cpus, gpus: machine.free_gpus, memory_gb: machine.free_memory_gb };
+        // A leader of an earlier version doesn't state the task slots; it has no limit on them.
+        let task_slots = machine.free_task_slots.map_or(f64::INFINITY, f64::from);
+        let headroom = |cpus: f64, memory_gb: f64| Resources { cpus, gpus: 0.0, memory_gb, task_slots };
+        let free = Resources {
+            cpus: machine.free_cpus,
+            gpus: machine.free_gpus,
+            memory_gb: machine.free_memory_gb,
+            task_slots,
+        };
         Candidate {
             source: CandidateSource::Machine { index, key: machine.key },
             type_index: machine.type_index as usize,
--- a/src/core/scheduler/gang_reservations.rs
+++ b/src/core/scheduler/gang_reservations.rs
@@ -16,8 +16,6 @@
 
 /// Tolerance for rounding errors in sums of fractional resources.
 const ROUNDING_TOLERANCE: f64 = 1e-6;
-/// More tasks than any machine holds. Stands for "unlimited" where a task needs no resources.
-const MAX_TASKS_THAT_FIT: f64 = 1e6;
 
 /// What to do with free capacity that is not enough for a whole gang.
 #[derive(Clone, Copy, PartialEq)]
@@ -61,8 +59,9 @@
         |capacity: f64, need: f64| if need > 0.0 { (capacity + ROUNDING_TOLERANCE) / need } else { f64::INFINITY };
     let tasks = quotient(capacity.cpus, need.cpus)
         .min(quotient(capacity.gpus, need.gpus))
-        .min(quotient(capacity.memory_gb, need.memory_gb));
-    tasks.clamp(0.0, MAX_TASKS_THAT_FIT) as u32
+        .min(quotient(capacity.memory_gb, need.memory_gb))
+        .min(quotient(capacity.task_slots, need.task_slots));
+    tasks.max(0.0) as u32
 }
 
 impl Scheduler {
--- a/src/core/scheduler/planner_view.rs
+++ b/src/core/scheduler/planner_view.rs
@@ -103,6 +103,7 @@
             cpus: smallest.cpus.min(need.cpus),
             gpus: smallest.gpus.min(need.gpus),
             memory_gb: smallest.memory_gb.min(need.memory_gb),
+            task_slots: smallest.task_slots.min(need.task_slots),
         })
     }
 
--- a/src/core/scheduler/planner_view/machines.rs
+++ b/src/core/scheduler/planner_view/machines.rs
@@ -3,6 +3,7 @@
 
 use crate::core::machine::{Machine, Registration, Resources};
 use crate::core::scheduler::Scheduler;
+use crate::core::task_slots::MAX_TASKS_PER_MACHINE;
 use crate::ids::MachineId;
 use crate::peer::{ImageView, MachineView};
 use crate::time::MonotonicTime;
@@ -113,6 +114,7 @@
             free_cpus: free.cpus,
             free_gpus: free.gpus,
             free_memory_gb: free.memory_gb,
+            free_task_slots: Some(free.task_slots.max(0.0) as u32),
             images: machine.images.iter().map(image).collect(),
             // The slowness is rounded, so that machines with a small difference compare as equal.
             slowness: (machine.slowness * SLOWNESS_STEPS).round().max(1.0) / SLOWNESS_STEPS,
@@ -136,6 +138,7 @@
                 free_cpus: machine_type.cpus,
                 free_gpus: machine_type.gpus,
                 free_memory_gb: machine_type.memory_gb,
+                free_task_slots: Some(MAX_TASKS_PER_MACHINE),
                 preemptible_headroom_cpus: machine_type.cpus,
                 preemptible_headroom_memory_gb: machine_type.memory_gb,
                 slowness: 1.0,
--- a/src/core/scheduler/quota/tests.rs
+++ b/src/core/scheduler/quota/tests.rs
@@ -18,7 +18,7 @@
 }
 
 fn cpus(cpus: f64) -> Resources {
-    Resources { cpus, gpus: 0.0, memory_gb: 1.0 }
+    Resources { cpus, memory_gb: 1.0, ..Resources::TASK_SLOT }
 }
 
 fn job_id(number: u32) -> JobId {
--- a/src/core/scheduler/reservations/tests.rs
+++ b/src/core/scheduler/reservations/tests.rs
@@ -8,7 +8,7 @@
     JobId::parse(&format!("req-{n:06}")).unwrap()
 }
 
-const NEED: Resources = Resources { cpus: 1.0, gpus: 0.0, memory_gb: 0.0 };
+const NEED: Resources = Resources { cpus: 1.0, gpus: 0.0, memory_gb: 0.0, task_slots: 1.0 };
 
 #[test]
 fn reservation_is_used_once_or_released_with_its_job_or_expires() {
--- a/src/core/scheduler/task_status.rs
+++ b/src/core/scheduler/task_status.rs
@@ -123,7 +123,7 @@
 /// fencing token that its run order can have carried.
 fn unknown_allocation(now: MonotonicTime, token: FencingToken) -> Allocation {
     Allocation {
-        need: Resources::default(),
+        need: Resources::TASK_SLOT,
         team: None,
         priority: Priority::Low,
         phase: None,
--- a/src/core/scheduler/tests.rs
+++ b/src/core/scheduler/tests.rs
@@ -398,6 +398,14 @@
         first_busy.map(|(name, _)| name.clone()).expect("some worker is busy")
     }
 
+    /// Lets all running tasks of all workers complete.
+    fn finish_running_tasks(&mut self) {
+        let statuses = self.workers.values_mut().flat_map(|heartbeat| &mut heartbeat.tasks);
+        for status in statuses.filter(|status| status.phase == TaskPhase::Running) {
+            (status.phase, status.cause) = (TaskPhase::Exited, Some(ExitCause::Done));
+        }
+    }
+
     /// Returns the number of running tasks of a job, as the workers list them.
     fn running_count(&self, id: &JobId) -> usize {
         let of_job = |status: &&TaskStatus| status.task.is_some_and(|task| task.job == *id);
--- a/src/peer/plan.rs
+++ b/src/peer/plan.rs
@@ -98,6 +98,10 @@
     /// [`MachineView::preemptible_headroom_cpus`].
     #[prost(double, tag = "16")]
     pub preemptible_headroom_memory_gb: f64,
+    /// How many more tasks the machine may hold, so that its worker's heartbeat stays within the protocol's size; `None`
+    /// if the leader's version has no such limit.
+    #[prost(uint32, optional, tag = "17")]
+    pub free_task_slots: Option<u32>,
 }
 
 /// The number of a job's tasks in a zone.
--- a/tests/golden/peer.rs
+++ b/tests/golden/peer.rs
@@ -110,6 +110,7 @@
         urgent_headroom_memory_gb: 10.5,
         preemptible_headroom_cpus: 11.5,
         preemptible_headroom_memory_gb: 12.5,
+        free_task_slots: None,
     }
 }
 
@@ -120,6 +121,8 @@
     assert_samples(&[
         ("machine_view", machine_view()),
         ("machine_view_spot", MachineView { spot: true, ..MachineView::default() }),
+        ("machine_view_free_task_slots", MachineView { free_task_slots: Some(504), ..MachineView::default() }),
+        ("machine_view_no_task_slots", MachineView { free_task_slots: Some(0), ..MachineView::default() }),
         ("machine_view_up", MachineView { up: true, ..MachineView::default() }),
     ]);
 }
