Answer a machine with more than 500 due stops, with all of them

What callers saw: a machine with more tasks to stop than one message has orders for (a leader of an earlier version may have given it thousands) got no answer, lost its lease, and with it everybody's tasks ended.

A response without all stops must not renew the lease, so there was none.

--- a/src/core/scheduler/heartbeats.rs
+++ b/src/core/scheduler/heartbeats.rs
@@ -47,20 +47,13 @@
     /// Without a response the worker's lease expires, which proves that it runs no task any more.
     #[error("worker has not acknowledged its fencing token within a lease")]
     UnacknowledgedToken,
-    /// More stop orders are due than fit in one message. A response without all of them would renew the
-    /// lease over tasks that must end.
-    #[error("more stop orders due than a response can carry, stops={stops}")]
-    TooManyStops {
-        /// Number of stop orders due.
-        stops: usize,
-    },
 }
 
 impl HeartbeatRejection {
     /// Whether an operator should investigate. The other rejections are expected on a lossy network.
     fn needs_attention(&self) -> bool {
         match self {
-            HeartbeatRejection::UnknownPool { .. } | HeartbeatRejection::TooManyStops { .. } => true,
+            HeartbeatRejection::UnknownPool { .. } => true,
             HeartbeatRejection::MalformedName
             | HeartbeatRejection::Terminated
             | HeartbeatRejection::NoRecord { .. }
@@ -186,23 +179,19 @@
         Ok(())
     }
 
-    /// Builds the response to an accepted heartbeat. It carries every stop order that is due, even while other
-    /// orders are in flight: a worker whose lease is renewed must not keep running a cancelled task. Clear orders are
-    /// added only if `is_newer`: no later message has been applied before this heartbeat.
+    /// Builds the response to an accepted heartbeat. It carries every stop order that is due, however many and even
+    /// while other orders are in flight: a worker whose lease is renewed must not keep running a cancelled task. Clear
+    /// orders are added only if `is_newer`: no later message has been applied before this heartbeat.
     fn respond(&mut self, id: &MachineId, is_newer: bool) -> Result<HeartbeatResponse, HeartbeatRejection> {
         let machine = self.machines.known.get_mut(id).ok_or(HeartbeatRejection::Terminated)?;
         let mut orders = machine.pending_stops();
-        if orders.len() > MAX_ORDERS_PER_MESSAGE {
-            self.flush_machine(id);
-            return Err(HeartbeatRejection::TooManyStops { stops: orders.len() });
-        }
         machine.outbox.discard_stops();
         // The worker would refuse orders in flight if it got a response with a higher token before them.
         if is_newer && machine.orders_in_flight.is_none() && self.raise_fence_for_clears(id) {
             // Run orders are only sent directly, where the worker's answer confirms them. Clear orders, which delete
             // exited tasks from the worker's list, only go with responses to heartbeats.
             let machine = self.machines.known.get_mut(id).ok_or(HeartbeatRejection::Terminated)?;
-            orders.extend(machine.outbox.take_clears(MAX_ORDERS_PER_MESSAGE - orders.len()));
+            orders.extend(machine.outbox.take_clears(MAX_ORDERS_PER_MESSAGE.saturating_sub(orders.len())));
         }
         let machine = self.machines.known.get(id).ok_or(HeartbeatRejection::Terminated)?;
         let token = machine.token(self.term);
