--- a/src/net/heartbeats.rs
+++ b/src/net/heartbeats.rs
@@ -4,12 +4,14 @@
 //! `respond_to_worker` handles a heartbeat received from the worker itself, and `respond_to_batch` heartbeats that a
 //! peer has relayed. Both use `decide`, which passes the heartbeats to the leader's scheduler.
 
+use super::heartbeat_body::{HeartbeatBodyError, MAX_HEARTBEAT_BYTES};
 use super::heartbeat_relay::{self, RelayOutcome};
 use super::input_latency::InputKind;
 use super::leader_loop;
 use super::node::{Node, NodeState};
 use crate::core::machine::HeartbeatRoute;
 use crate::core::scheduler::{HeartbeatRejection, response_before_load};
+use crate::core::task_slots::MAX_BODY_BYTES;
 use crate::ids::MachineId;
 use crate::peer::{HeartbeatBatch, HeartbeatDecision, HeartbeatDecisions, VERSION};
 use crate::time::MonotonicTime;
@@ -29,6 +31,8 @@
     Accepted(HeartbeatResponse),
     /// 400: the body isn't a valid heartbeat.
     Malformed,
+    /// 413: the body exceeds the maximum size.
+    TooLarge,
     /// 421: the worker should send its heartbeats to another controller, which is named if one is known.
     Redirected(Option<String>),
     /// 503: the leader rejects the heartbeat and doesn't renew the worker's lease. Reasons are in
@@ -39,8 +43,11 @@
 impl From<HeartbeatReply> for HeartbeatDecision {
     fn from(reply: HeartbeatReply) -> HeartbeatDecision {
         let (status, body) = match reply {
-            HeartbeatReply::Accepted(response) => (200, serde_json::to_vec(&response).unwrap_or_default()),
+            HeartbeatReply::Accepted(response) => (200, encode_response(&response)),
             HeartbeatReply::Malformed => (400, json!({"error": "not a report"}).to_string().into()),
+            HeartbeatReply::TooLarge => {
+                (413, json!({"error": format!("report of over {MAX_HEARTBEAT_BYTES} bytes")}).to_string().into())
+            }
             HeartbeatReply::Redirected(Some(name)) => (421, json!({ "steward": name }).to_string().into()),
             HeartbeatReply::Redirected(None) => (421, json!({}).to_string().into()),
             HeartbeatReply::Rejected => (503, json!({"error": "not answered"}).to_string().into()),
@@ -55,6 +62,12 @@
     }
 }
 
+/// Encodes a response as JSON, with line breaks if it would be a line that is longer than the protocol permits.
+fn encode_response(response: &HeartbeatResponse) -> Vec<u8> {
+    let line = serde_json::to_vec(response).unwrap_or_default();
+    if line.len() <= MAX_BODY_BYTES { line } else { serde_json::to_vec_pretty(response).unwrap_or_default() }
+}
+
 /// The error that this controller doesn't lead, or no longer leads, so that it can't decide on heartbeats.
 #[derive(Debug)]
 struct NotLeading;
@@ -78,6 +91,20 @@
     }
 }
 
+/// Responds to a worker whose heartbeat can't be read.
+pub(super) fn reject_body(node: &Node, error: &HeartbeatBodyError) -> HeartbeatDecision {
+    match error {
+        HeartbeatBodyError::TooLarge { .. } => {
+            let now = node.now();
+            if let Some(count) = node.lock().oversized_heartbeats.record(now) {
+                log::warn!("{error} unlogged={}", count - 1);
+            }
+            HeartbeatReply::TooLarge.into()
+        }
+        HeartbeatBodyError::Unreadable => HeartbeatReply::Malformed.into(),
+    }
+}
+
 /// Responds to a worker without relaying its heartbeat: decides on it if this controller leads, and redirects the
 /// worker otherwise.
 fn respond_without_relay(node: &Arc<Node>, body: &[u8]) -> HeartbeatDecision {
--- a/src/net/loopback/bounds.rs
+++ b/src/net/loopback/bounds.rs
@@ -66,3 +66,21 @@
     let expected: Vec<u32> = (0..600).map(|n| if malformed(n) { 400 } else { 200 }).collect();
     assert_eq!(statuses, expected);
 }
+
+/// A heartbeat that listed too many tasks was handled as an empty one, so that the machine was terminated.
+#[tokio::test]
+async fn heartbeat_over_the_protocols_size_is_decided_on_and_one_over_the_maximum_gets_a_clear_answer() {
+    let cluster = FakeCluster::default();
+    let (node, client) = start_without_peers(&cluster).await;
+    node.lock().election.elected(Term(5), LeaseId(7), node.now());
+    let with_tasks = |tasks: usize| {
+        let mut heartbeat = cluster.heartbeat();
+        let status = |index| json!({"lot": format!("req-000001/{index}"), "try": 1_u64 << 60, "phase": "running"});
+        heartbeat["lots"] = (0..tasks).map(status).collect();
+        heartbeat
+    };
+    let (status, _) = client.post("/v1/report", with_tasks(8_000)).await;
+    assert_eq!(status, 200, "the leader decides on it");
+    let (status, body) = client.post("/v1/report", with_tasks(20_000)).await;
+    assert_eq!((status, body), (413, json!({"error": "report of over 1048576 bytes"})));
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -14,6 +14,7 @@
 pub mod dependency_check;
 pub mod election;
 pub mod heartbeat_balancing;
+mod heartbeat_body;
 pub mod heartbeat_relay;
 pub mod heartbeats;
 pub mod http;
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -85,6 +85,8 @@
     /// Limits the rate of log lines about messages of peers that can't be decoded, are too large or are of another
     /// protocol version.
     pub bad_messages: RateLimitedLog,
+    /// Limits the log lines about workers' heartbeats that exceed the maximum size.
+    pub oversized_heartbeats: RateLimitedLog,
     /// The peers through which this controller can relay heartbeats while it can't reach the leader itself.
     pub relay_routes: RelayRoutes,
     /// While leading: distributes workers over the peers that relay heartbeats.
@@ -113,6 +115,7 @@
             successor: None,
             heartbeat_relay: HeartbeatRelay::default(),
             bad_messages: RateLimitedLog::new(BAD_MESSAGES_LOG_INTERVAL),
+            oversized_heartbeats: RateLimitedLog::new(BAD_MESSAGES_LOG_INTERVAL),
             relay_routes: RelayRoutes::default(),
             heartbeat_balancer: HeartbeatBalancer::default(),
             overload: OverloadDetector::default(),
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,10 +1,12 @@
 //! HTTP servers: one address serves users, workers and health checks, the other serves peer controllers.
 
+use super::heartbeat_body;
 use super::heartbeats;
 use super::leader_loop;
 use super::node::Node;
 use super::user_api::{self, Reply};
 use super::{peer_service, peers};
+use crate::core::task_slots::MAX_BODY_BYTES;
 use bytes::Bytes;
 use salvo::http::header::{CONTENT_TYPE, HeaderValue};
 use salvo::prelude::*;
@@ -13,9 +15,7 @@
 use std::sync::Arc;
 
 /// Maximum size of the body of a submission in bytes, as specified in PROTOCOL.
-const MAX_SUBMISSION_BYTES: usize = 64 * 1024;
-/// Maximum size in bytes of a worker's heartbeat, which lists all tasks of the worker.
-const MAX_HEARTBEAT_BYTES: usize = 4 * MAX_SUBMISSION_BYTES;
+const MAX_SUBMISSION_BYTES: usize = MAX_BODY_BYTES;
 /// Maximum size in bytes of a peer's request body. The input of a plan for a few thousand machines, with their cached
 /// images, takes 1 to 2 MB. A larger body is rejected and logged, and the leader plans that shard itself.
 const MAX_PEER_BODY_BYTES: usize = 16 << 20;
@@ -65,9 +65,10 @@
                 leader_loop::perform_pending_effects(node);
             }
             Route::Heartbeat => {
-                // An unreadable or oversized body is handled as an empty one, which is not a valid heartbeat.
-                let body = request.payload_with_max_size(MAX_HEARTBEAT_BYTES).await.cloned().unwrap_or_default();
-                let decision = heartbeats::respond_to_worker(node, &body).await;
+                let decision = match heartbeat_body::read(request).await {
+                    Ok(body) => heartbeats::respond_to_worker(node, &body).await,
+                    Err(error) => heartbeats::reject_body(node, &error),
+                };
                 send_json(response, decision.status as u16, decision.body);
             }
             Route::PeerHeartbeat => {
