Mark no image as cached on a machine where no task starts

A placement that no longer holds called the start with no tasks, which still marked the job's image as cached; planners then chose that machine for its image.

The new test finds two images before the fix, one after.

--- a/src/core/scheduler/reservations.rs
+++ b/src/core/scheduler/reservations.rs
@@ -247,9 +247,7 @@
             self.reservations.use_tasks(id, &machine, placeable);
             let indices = indices.into_iter().take(placeable as usize);
             let started: Vec<(u32, Attempt)> = indices.map(|index| (index, self.next_attempt())).collect();
-            if !started.is_empty() {
-                self.start_tasks(now, id, &machine, &started);
-            }
+            self.start_tasks(now, id, &machine, &started);
         }
         ReservationUse::Pending
     }
--- a/src/core/scheduler/starts.rs
+++ b/src/core/scheduler/starts.rs
@@ -71,6 +71,9 @@
         let (Some(job), Some(machine)) = (self.jobs.live.get(job_id), self.machines.known.get(machine_id)) else {
             return;
         };
+        if tasks.is_empty() {
+            return;
+        }
         self.meter.add_tasks(machine.allocations.len() + tasks.len());
         let (image, fetch_s) = (self.image_number(&job.spec), self.image_fetch_s(now, &job.spec, machine));
         let run_s = self.jobs.expected_run_s(&job.spec);
--- a/src/core/scheduler/tests/planning.rs
+++ b/src/core/scheduler/tests/planning.rs
@@ -1,7 +1,8 @@
 //! Tests of planning: which jobs get capacity, and which machines each planner considers.
 
 use super::*;
-use crate::peer::{JobView, MachineTypeView, MachineView, PlanInput, VERSION};
+use crate::core::scheduler::planner_view::PlannerView;
+use crate::peer::{JobView, MachineTypeView, MachineView, Placement, PlanInput, PlanOutput, VERSION};
 
 #[test]
 fn largest_gang_starts_while_smaller_gangs_keep_arriving() {
@@ -160,3 +161,23 @@
     assert_eq!(lendable_count(&mut scheduler, MonotonicTime(1_000), &BTreeSet::new()), 1, "recent demand still counts");
     assert_eq!(lendable_count(&mut scheduler, MonotonicTime(200_000), &BTreeSet::new()), 4);
 }
+
+/// Planned placements that no longer held marked the job's image as cached on their machines, and later tasks were placed
+/// there and waited for the image.
+#[test]
+fn placement_that_no_longer_holds_leaves_no_image_on_its_machine() {
+    let mut harness = SchedulerHarness::new(1);
+    harness.run(2_000);
+    let full = harness.submit(300, JobSpec { image: "other".into(), ..spec("req-000001", JobKind::Array, 1, 8.0) });
+    harness.run(2_000);
+    assert_eq!(harness.running_count(&full), 1);
+    let id = harness.submit(300, spec("req-000002", JobKind::Array, 1, 8.0));
+    let (now, wall) = (MonotonicTime(harness.now), WallTime(harness.now));
+    let view = harness.scheduler.planner_view(now, wall);
+    let machine = harness.scheduler.machines.known.keys().next().cloned().unwrap();
+    let view = PlannerView { machines: vec![Some(machine.clone())], ..view };
+    let job = view.jobs.iter().position(|planned| planned.id == id).unwrap() as u32;
+    let placements = vec![Placement { job, machine: 0, count: 1, excess_cost: 0.0 }];
+    harness.scheduler.commit_plan(now, &view, &PlanOutput { placements, ..PlanOutput::default() });
+    assert_eq!(harness.scheduler.machines.known[&machine].images.len(), 1, "only the image of the running task");
+}
--- a/src/core/simulation/digest.rs
+++ b/src/core/simulation/digest.rs
@@ -141,23 +141,23 @@
 /// The seed and the expected digest of each run. Each seed has a digest of its own, so that a failure shows which runs
 /// have changed.
 const EXPECTED_DIGESTS: [(u64, u64); 12] = [
-    (0, 0x6d09_c4a7_772e_1fae),
-    (1, 0x9c8a_62a5_1139_e267),
-    (2, 0xd34a_37d3_b619_befa),
-    (3, 0xa285_8088_6d94_9b50),
-    (4, 0x0783_eb86_3e74_defc),
-    (5, 0xe4ba_0734_5e6f_6a8e),
-    (6, 0xb56b_2366_2b85_0439),
-    (7, 0xbac1_fda8_1ed9_34bf),
-    (8, 0xf5ec_7246_777e_bd15),
-    (9, 0x0700_1c45_8076_0af0),
-    (10, 0x1014_2fe9_fb99_b288),
-    (11, 0x8db5_8870_7cd8_25b4),
+    (0, 0x0bad_4f1c_315c_150d),
+    (1, 0x3797_4bf9_ae04_7491),
+    (2, 0xca1c_d4f2_520a_a11d),
+    (3, 0x177a_b298_d95c_662d),
+    (4, 0x11e5_c275_44a5_011d),
+    (5, 0xadde_fd02_dc9d_3ad6),
+    (6, 0xc063_8544_4f1c_97ac),
+    (7, 0x62fb_312b_6ee3_aeec),
+    (8, 0x5f56_1cfc_8801_e5eb),
+    (9, 0x92ac_6772_5e37_1c1c),
+    (10, 0x10a2_babf_b8b7_4986),
+    (11, 0x5e40_e9e3_a128_c603),
 ];
 
 /// The expected number of outputs of each kind, summed over the runs of [`EXPECTED_DIGESTS`], in the order of
 /// [`Digest::counts`].
-const EXPECTED_COUNTS: [u64; TAG_COUNT] = [1791, 1169, 132, 503, 272, 43, 1792, 1738, 3541, 265];
+const EXPECTED_COUNTS: [u64; TAG_COUNT] = [1701, 1159, 144, 470, 268, 43, 1837, 1794, 3444, 248];
 
 /// Returns the digest of a run with more cancellations, dependencies and late commits than by default, and fewer leader
 /// crashes.
