Spread the start and the stop of a large job over ticks, and queue a broken gang's stops once

What callers saw: the start of a gang of 100,000 tasks, linear by now, took one tick of 73 to 116 ms on a whole core (420 machines, benches/huge_jobs.rs, beside builds), so over a second at 8% of a core: more than a third of a leader's lease of 3.5 s.

Cause: a gang started, and a job's tasks were stopped, within one input however many they were.

Now at most 4,096 gang tasks start between two ticks. A gang is still checked as a whole before its first task starts; the capacity of the rest is reserved, counts in its team's quota, and a machine that can't take its part any more stops the gang. Stops are queued at 4,096 a tick as well; nothing is sent to a machine before the pending stops of its ended tasks are queued there, so that a cancelled task neither starts nor keeps its lease.

A gang that a new leader finds in two attempts is broken before any stop is queued; that is a state of its own now (stops_queued).

Tests: cancelled, a machine lost, the leader replaced halfway through a start, and a team's quota meanwhile.

--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -40,6 +40,15 @@
     /// Whether a task of this attempt has ended without being done or is being stopped, so that all other
     /// tasks of the attempt must be stopped as well.
     pub broken: bool,
+    /// Whether the stops of all tasks that may be on machines have been queued since the attempt broke.
+    pub stops_queued: bool,
+}
+
+impl GangRun {
+    /// An attempt that isn't broken.
+    pub fn new(attempt: Attempt) -> GangRun {
+        GangRun { attempt, broken: false, stops_queued: false }
+    }
 }
 
 /// A machine where a task attempt may be running.
--- a/src/core/jobs/tests.rs
+++ b/src/core/jobs/tests.rs
@@ -124,10 +124,10 @@
 fn an_attempt_may_continue_unless_its_task_is_done_or_its_gang_broken() {
     let mut job = job();
     let attempt = |index, attempt| (TaskId { job: JobId::parse("req-000001").unwrap(), index }, Attempt(attempt));
-    job.gang = Some(GangRun { attempt: Attempt(7), broken: false });
+    job.gang = Some(GangRun::new(Attempt(7)));
     job.set_done(0);
     assert!(!job.may_continue(&attempt(0, 7)) && job.may_continue(&attempt(1, 7)));
-    job.gang = Some(GangRun { attempt: Attempt(7), broken: true });
+    job.gang = Some(GangRun { broken: true, ..GangRun::new(Attempt(7)) });
     assert!(!job.may_continue(&attempt(1, 7)) && job.may_continue(&attempt(1, 8)));
 }
 
--- a/src/core/scheduler/heartbeats.rs
+++ b/src/core/scheduler/heartbeats.rs
@@ -183,6 +183,7 @@
     /// while other orders are in flight: a worker whose lease is renewed must not keep running a cancelled task. Clear
     /// orders are added only if `is_newer`: no later message has been applied before this heartbeat.
     fn respond(&mut self, id: &MachineId, is_newer: bool) -> Result<HeartbeatResponse, HeartbeatRejection> {
+        self.stop_ended_tasks(id);
         let machine = self.machines.known.get_mut(id).ok_or(HeartbeatRejection::Terminated)?;
         let mut orders = machine.pending_stops();
         machine.outbox.discard_stops();
--- a/src/core/scheduler/job_events.rs
+++ b/src/core/scheduler/job_events.rs
@@ -2,11 +2,11 @@
 //! lookups of dependencies.
 
 use super::loading::{RowError, log_if_ignored};
-use super::{Effect, Scheduler, stop_allocation};
+use super::{Effect, Scheduler};
 use crate::core::jobs::Job;
 use crate::core::records::{JobOutcome, LIVE_PREFIX, LiveRecord};
 use crate::core::submissions;
-use crate::ids::{JobId, MachineId, Revision, TaskId};
+use crate::ids::{JobId, Revision};
 use crate::time::MonotonicTime;
 use crate::wire::{JobSpec, KeyValue};
 use serde_json::Value;
@@ -71,19 +71,14 @@
             self.rounds.request();
         }
         let Some(job) = termination.job else { return };
+        self.end_gang_start(id);
         self.rounds.request();
         let chunks = self.limits.layout.chunks(job.spec.tasks);
         let stored = chunks.iter().filter(|chunk| chunk.done_tasks(job.durably_done()).next().is_some());
         self.writes.queue_bitmap_deletions(stored.map(|chunk| chunk.key(id)));
-        self.meter.add_tasks(job.placed.len());
-        let mut machines: BTreeSet<&MachineId> = BTreeSet::new();
-        for (index, machine_id, attempt) in job.places() {
-            if let Some(machine) = self.machines.known.get_mut(machine_id) {
-                stop_allocation(machine, &(TaskId { job: *id, index }, attempt), 0.0);
-                machines.insert(machine_id);
-            }
-        }
-        machines.into_iter().for_each(|machine_id| self.flush_machine(machine_id));
+        self.pending_stops.add_placed_tasks(id, &job, 0.0);
+        let machines = self.queue_pending_stops();
+        machines.iter().for_each(|machine| self.flush_machine(machine));
     }
 
     /// Requests the outcomes of dependencies from the key-value store when a lookup is due.
--- a/src/core/scheduler/mod.rs
+++ b/src/core/scheduler/mod.rs
@@ -13,6 +13,7 @@
 mod failure_detection;
 mod fences;
 mod gang_reservations;
+mod gang_starts;
 mod gpu_demand;
 mod gpu_lending;
 mod heartbeats;
@@ -23,6 +24,7 @@
 mod machine_table;
 mod orders;
 mod outstanding_orders;
+mod pending_stops;
 mod placement_checks;
 mod plan_commit;
 mod planner_view;
@@ -45,14 +47,15 @@
 use self::catalog::Catalog;
 use self::consolidation::Consolidation;
 pub use self::effects::{CommitOutcome, Effect, OrdersResult, ProvisionOutcome};
+use self::gang_starts::GangStarts;
 use self::gpu_lending::GpuLending;
 pub use self::heartbeats::{HeartbeatRejection, response_before_load};
 use self::job_table::JobTable;
 use self::load::LoadMeter;
 pub use self::loading::StoredState;
 use self::machine_table::MachineTable;
-use self::orders::stop_allocation;
 use self::outstanding_orders::OutstandingOrders;
+use self::pending_stops::PendingStops;
 use self::quota::QuotaTracker;
 use self::reservations::Reservations;
 use self::rounds::Rounds;
@@ -116,6 +119,8 @@
     rounds: Rounds,
     gpus: GpuLending,
     reservations: Reservations,
+    gang_starts: GangStarts,
+    pending_stops: PendingStops,
     consolidation: Consolidation,
     provisioner: Provisioner,
     spot_lifetimes: SpotLifetimes,
@@ -180,6 +185,8 @@
             writes: WriteQueue::new(term, limits.write_rps, now),
             rounds: Rounds::new(now),
             reservations: Reservations::default(),
+            gang_starts: GangStarts::default(),
+            pending_stops: PendingStops::default(),
             consolidation: Consolidation::new(now),
             provisioner: Provisioner::default(),
             shards,
--- a/src/core/scheduler/orders.rs
+++ b/src/core/scheduler/orders.rs
@@ -5,7 +5,7 @@
 use super::effects::{Effect, OrdersResult};
 use super::outstanding_orders::SentOrders;
 use crate::core::machine::{Machine, PendingRun, TaskAttempt};
-use crate::ids::{JobId, MachineId, RequestId, TaskId};
+use crate::ids::{JobId, MachineId, RequestId};
 use crate::time::MonotonicTime;
 use crate::wire::{DirectOrders, JobKind, Order};
 use log::debug;
@@ -54,6 +54,7 @@
         let Some(job) = self.jobs.live.get(&key.0.job) else { return };
         let leeway_s = if job.writes_checkpoints() { job.spec.checkpoint_save_s + SAVE_LEEWAY_MARGIN_S } else { 0.0 };
         if job.spec.kind == JobKind::Gang {
+            self.end_gang_start(&key.0.job);
             self.stop_placed_tasks(&key.0.job, leeway_s);
         } else if let Some(machine) = self.machines.known.get_mut(id) {
             stop_allocation(machine, key, leeway_s);
@@ -72,15 +73,12 @@
         }
     }
 
-    /// Queues orders to stop all tasks of a job that may be on machines.
-    pub(super) fn stop_placed_tasks(&mut self, id: &JobId, leeway_s: f64) {
-        let Some(job) = self.jobs.live.get(id) else { return };
-        self.meter.add_tasks(job.placed.len());
-        for (index, machine_id, attempt) in job.places() {
-            if let Some(machine) = self.machines.known.get_mut(machine_id) {
-                stop_allocation(machine, &(TaskId { job: *id, index }, attempt), leeway_s);
-            }
+    /// Queues orders to stop all tasks of a job that may be on machines. Returns the machines that have orders to send.
+    pub(super) fn stop_placed_tasks(&mut self, id: &JobId, leeway_s: f64) -> BTreeSet<MachineId> {
+        if let Some(job) = self.jobs.live.get(id) {
+            self.pending_stops.add_placed_tasks(id, job, leeway_s);
         }
+        self.queue_pending_stops()
     }
 
     /// Drains a machine that the cloud reclaims in `notice_s` seconds: services, and tasks that are not expected
@@ -125,6 +123,7 @@
             let unsent_runs: Vec<TaskAttempt> = machine.outbox.runs();
             self.remove_lost_tasks(id, unsent_runs, false);
         }
+        self.stop_ended_tasks(id);
         let Some(machine) = self.machines.known.get_mut(id) else { return };
         // Clear orders wait for the response to the next heartbeat, where the fence may be raised for them: a direct
         // message with a higher token could overtake a response with a lower one, which the worker would then drop
--- a/src/core/scheduler/placement_checks.rs
+++ b/src/core/scheduler/placement_checks.rs
@@ -43,6 +43,19 @@
         self.fits_quota(team, &need, f64::from(total))
     }
 
+    /// Whether tasks of a gang that is being started may start on a machine now. The gang counts in its team's quota
+    /// already.
+    pub(super) fn may_place_gang_part(
+        &self,
+        now: MonotonicTime,
+        job_id: &JobId,
+        machine_id: &MachineId,
+        tasks: u32,
+    ) -> bool {
+        let zones = self.jobs.live.get(job_id).map(Job::zone_counts).unwrap_or_default();
+        self.tasks_that_fit(now, job_id, machine_id, &zones, tasks) == tasks
+    }
+
     /// How many of `tasks` tasks of the job may start on the machine now, regardless of the team's quota: none if the
     /// store's state is in doubt, the job has pending dependencies or possibly runs on an unreconciled machine, or the
     /// machine is not schedulable or not permitted, and otherwise as many as its unreserved capacity and the zone
--- a/src/core/scheduler/plan_commit.rs
+++ b/src/core/scheduler/plan_commit.rs
@@ -4,7 +4,7 @@
 use super::eviction::PlacementTarget;
 use super::planner_view::{PlannedJob, PlannerView};
 use super::preemption_index::PreemptionSearch;
-use super::starts::GangPlacement;
+use super::starts::{GangPlacement, merge_by_machine};
 use crate::ids::{Attempt, JobId, MachineId};
 use crate::peer::{JobView, Placement, PlanOutput};
 use crate::time::MonotonicTime;
@@ -60,7 +60,7 @@
                 .get(job_id)
                 .is_some_and(|job| job.spec.tasks == total && job.placed.is_empty() && job.gang.is_none());
             if is_unstarted {
-                self.start_gang(now, job_id, &parts);
+                self.start_gang(now, job_id, &merge_by_machine(parts));
             }
         }
         self.scale_out(now, &plan.scale_out);
--- a/src/core/scheduler/quota.rs
+++ b/src/core/scheduler/quota.rs
@@ -27,7 +27,12 @@
 
 impl QuotaUsage {
     /// Sums up all resources that are possibly in use; a machine that is not reconciled counts with its whole capacity.
-    fn count(teams: usize, machines: &BTreeMap<MachineId, Machine>, types: &[MachineType]) -> QuotaUsage {
+    fn count(
+        teams: usize,
+        starting: &BTreeMap<JobId, StartingUsage>,
+        machines: &BTreeMap<MachineId, Machine>,
+        types: &[MachineType],
+    ) -> QuotaUsage {
         let mut usage = QuotaUsage { teams: vec![Resources::default(); teams], unreconciled: Resources::default() };
         for machine in machines.values() {
             for allocation in machine.allocations.values().filter(|allocation| !allocation.has_exited()) {
@@ -39,10 +44,22 @@
                 usage.unreconciled.add(&Resources::of_type(&types[machine.kind]));
             }
         }
+        for start in starting.values() {
+            if let Some(team) = usage.teams.get_mut(start.team as usize) {
+                team.add(&start.need.times(start.tasks));
+            }
+        }
         usage
     }
 }
 
+/// What the unplaced tasks of a gang that is being started will use.
+struct StartingUsage {
+    team: u32,
+    need: Resources,
+    tasks: u32,
+}
+
 /// The teams' quotas and their current usage.
 pub(super) struct QuotaTracker {
     /// The teams by number, in the order of the settings.
@@ -51,6 +68,8 @@
     /// The resources that are possibly in use, or `None` if they must be summed up again. Computed on demand, updated
     /// at each start, and discarded whenever a heartbeat may have changed what is on a machine.
     usage: Option<QuotaUsage>,
+    /// What the tasks of gangs that are being started and have not been placed need, with the gang's team.
+    starting: BTreeMap<JobId, StartingUsage>,
     /// The jobs within their team's guarantee, as of the last planning round.
     pub(super) within_guarantee: BTreeSet<JobId>,
 }
@@ -59,7 +78,13 @@
     /// Creates a tracker without cached usage and without jobs within a guarantee.
     pub(super) fn new(teams: &[Team]) -> QuotaTracker {
         let team_names = teams.iter().map(|team| team.name.clone()).collect();
-        QuotaTracker { teams: teams.to_vec(), team_names, usage: None, within_guarantee: BTreeSet::new() }
+        QuotaTracker {
+            teams: teams.to_vec(),
+            team_names,
+            usage: None,
+            starting: BTreeMap::new(),
+            within_guarantee: BTreeSet::new(),
+        }
     }
 
     /// The teams' names, by team number.
@@ -79,6 +104,31 @@
         }
     }
 
+    /// Counts the tasks of a gang of this team, which is about to be started, as used.
+    pub(super) fn set_starting(&mut self, job: &JobId, team: u32, need: Resources, tasks: u32) {
+        self.starting.insert(*job, StartingUsage { team, need, tasks });
+        if let Some(usage) = &mut self.usage {
+            usage.teams[team as usize].add(&need.times(tasks));
+        }
+    }
+
+    /// Records that tasks of a gang that is being started are about to be placed. From then on they count on their
+    /// machine, see [`QuotaTracker::record_start`].
+    pub(super) fn record_gang_start(&mut self, job: &JobId, tasks: u32) {
+        let Some(start) = self.starting.get_mut(job) else { return };
+        start.tasks = start.tasks.saturating_sub(tasks);
+        if let Some(usage) = &mut self.usage {
+            usage.teams[start.team as usize].sub(&start.need.times(tasks));
+        }
+    }
+
+    /// Records that no further task of the gang is being started.
+    pub(super) fn clear_starting(&mut self, job: &JobId) {
+        let unplaced = self.starting.get(job).map_or(0, |start| start.tasks);
+        self.record_gang_start(job, unplaced);
+        self.starting.remove(job);
+    }
+
     /// How many of `tasks` more tasks with this need the team's limit permits to start one by one.
     pub(super) fn startable(
         &mut self,
@@ -105,7 +155,8 @@
         if quota.max_cpus <= 0.0 && quota.max_gpus <= 0.0 {
             return true;
         }
-        let usage = self.usage.get_or_insert_with(|| QuotaUsage::count(self.teams.len(), machines, types));
+        let usage =
+            self.usage.get_or_insert_with(|| QuotaUsage::count(self.teams.len(), &self.starting, machines, types));
         let mut used = usage.teams[team as usize];
         used.add(&usage.unreconciled);
         let fits = |limit: f64, used: f64, need: f64| limit <= 0.0 || used + need * tasks <= limit + ROUNDING_TOLERANCE;
@@ -118,7 +169,8 @@
         machines: &BTreeMap<MachineId, Machine>,
         types: &[MachineType],
     ) -> Vec<TeamHeadroom> {
-        let usage = self.usage.get_or_insert_with(|| QuotaUsage::count(self.teams.len(), machines, types));
+        let usage =
+            self.usage.get_or_insert_with(|| QuotaUsage::count(self.teams.len(), &self.starting, machines, types));
         let remaining = |limit: f64, used: f64, unreconciled: f64| {
             if limit > 0.0 { (limit - used - unreconciled).max(0.0) } else { UNLIMITED }
         };
--- a/src/core/scheduler/reservations.rs
+++ b/src/core/scheduler/reservations.rs
@@ -152,6 +152,14 @@
         }
     }
 
+    /// Extends the reservations of a job to [`RESERVATION_TTL`] from now.
+    pub(super) fn renew(&mut self, now: MonotonicTime, job: &JobId) {
+        for number in self.by_job.get(job).cloned().unwrap_or_default() {
+            let Some(Reservation { machine, job, need, tasks, .. }) = self.remove(number) else { continue };
+            self.add_tasks(now, machine, job, need, tasks);
+        }
+    }
+
     /// The jobs whose reservations are to be tried next, round robin.
     fn next_jobs(&mut self, limit: usize) -> Vec<JobId> {
         let jobs = self.jobs_after(self.last_tried_job, limit);
@@ -159,10 +167,11 @@
         jobs
     }
 
-    fn remove(&mut self, number: ReservationNumber) {
-        let Some(reservation) = self.by_number.remove(&number) else { return };
+    fn remove(&mut self, number: ReservationNumber) -> Option<Reservation> {
+        let reservation = self.by_number.remove(&number)?;
         remove_from(&mut self.by_machine, &reservation.machine, number);
         remove_from(&mut self.by_job, &reservation.job, number);
+        Some(reservation)
     }
 }
 
@@ -223,6 +232,9 @@
     /// Starts a gang once all its tasks have reservations and may start.
     fn start_reserved_gang(&mut self, now: MonotonicTime, id: &JobId, parts: Vec<GangPlacement>) -> ReservationUse {
         let Some(job) = self.jobs.live.get(id) else { return ReservationUse::Done };
+        if self.gang_starts.contains(id) {
+            return ReservationUse::Pending;
+        }
         let tasks = job.spec.tasks;
         if job.gang.is_some() || !job.placed.is_empty() || job.ready.len() as u32 != tasks {
             return ReservationUse::Done;
@@ -233,7 +245,7 @@
             return ReservationUse::Pending;
         }
         self.start_gang(now, id, &parts);
-        ReservationUse::Done
+        if self.gang_starts.contains(id) { ReservationUse::Pending } else { ReservationUse::Done }
     }
 
     /// Starts a ready task for each reservation whose machine may take it.
--- a/src/core/scheduler/starts.rs
+++ b/src/core/scheduler/starts.rs
@@ -1,7 +1,7 @@
-//! Starting single tasks and whole gangs on machines that were chosen for them.
+//! Starting tasks on machines that were chosen for them.
 
 use super::Scheduler;
-use crate::core::jobs::{GangRun, TaskPlace};
+use crate::core::jobs::TaskPlace;
 use crate::core::machine::{Allocation, MIN_REMAINING_FETCH_S, Machine, Resources};
 use crate::ids::{Attempt, FencingToken, JobId, MachineId, TaskId};
 use crate::time::MonotonicTime;
@@ -42,23 +42,6 @@
         remaining_s.unwrap_or_else(|| spec.image_gb / self.fetch_rate(machine))
     }
 
-    /// Starts a gang on these machines. If one of the machines can't take the tasks meant for it any more, no task of
-    /// the gang is started.
-    pub(super) fn start_gang(&mut self, now: MonotonicTime, job_id: &JobId, parts: &[GangPlacement]) {
-        let attempt = self.next_attempt();
-        if !self.may_place_gang(now, job_id, parts) {
-            return;
-        }
-        let Some(job) = self.jobs.live.get_mut(job_id) else { return };
-        job.gang = Some(GangRun { attempt, broken: false });
-        let mut indices = 0..job.spec.tasks;
-        for (machine, tasks) in parts {
-            let tasks: Vec<(u32, Attempt)> =
-                indices.by_ref().take(*tasks as usize).map(|index| (index, attempt)).collect();
-            self.start_tasks(now, job_id, machine, &tasks);
-        }
-    }
-
     /// Records task attempts of a job on a machine in the cluster state and queues their run orders. A task attempt is
     /// always recorded before its run order is sent, so that no task can run that isn't accounted for.
     pub(super) fn start_tasks(
--- a/src/core/scheduler/task_exit.rs
+++ b/src/core/scheduler/task_exit.rs
@@ -6,7 +6,6 @@
 use crate::time::{Millis, MonotonicTime};
 use crate::wire::{ExitCause, JobKind};
 use log::{debug, info};
-use std::collections::BTreeSet;
 
 /// A machine is quarantined (gets no new tasks) for [`QUARANTINE_PERIOD`] after this many consecutive task failures
 /// that weren't their jobs' fault.
@@ -170,17 +169,20 @@
     /// Stops the remaining tasks of a gang attempt after one of them has ended. The gang can start again once no task
     /// of it runs any more.
     pub(super) fn break_gang(&mut self, id: &JobId, attempt: Attempt) {
+        if self.jobs.live.get(id).and_then(|job| job.gang.as_ref()).is_some_and(|run| run.attempt == attempt) {
+            self.end_gang_start(id);
+        }
         let Some(job) = self.jobs.live.get_mut(id) else { return };
         if job.placed.is_empty() {
             // No task of any attempt of the gang is placed any more, so the gang can start again.
             job.gang = None;
             return;
         }
-        // The stops of a broken attempt are queued already. The responses to heartbeats repeat them.
-        let Some(run) = job.gang.as_mut().filter(|run| run.attempt == attempt && !run.broken) else { return };
+        // Stops are queued once. The responses to heartbeats repeat them.
+        let Some(run) = job.gang.as_mut().filter(|run| run.attempt == attempt && !run.stops_queued) else { return };
         run.broken = true;
-        let machines: BTreeSet<MachineId> = job.places().map(|(_, machine, _)| machine.clone()).collect();
-        self.stop_placed_tasks(id, 0.0);
+        run.stops_queued = true;
+        let machines = self.stop_placed_tasks(id, 0.0);
         machines.iter().for_each(|machine| self.flush_machine(machine));
     }
 }
--- a/src/core/scheduler/task_status.rs
+++ b/src/core/scheduler/task_status.rs
@@ -108,7 +108,7 @@
                 job.place(task.index, TaskPlace { machine: id.clone(), zone, attempt: *attempt });
                 if job.spec.kind == JobKind::Gang {
                     match &mut job.gang {
-                        None => job.gang = Some(GangRun { attempt: *attempt, broken: false }),
+                        None => job.gang = Some(GangRun::new(*attempt)),
                         Some(run) if run.attempt != *attempt => run.broken = true,
                         Some(_) => {}
                     }
--- a/src/core/scheduler/tests.rs
+++ b/src/core/scheduler/tests.rs
@@ -398,6 +398,12 @@
         first_busy.map(|(name, _)| name.clone()).expect("some worker is busy")
     }
 
+    /// Returns the number of orders to run a task of the job that have reached workers.
+    fn delivered_runs(&self, id: &JobId) -> usize {
+        let orders = self.delivered_orders.iter().flat_map(|(_, message)| &message.orders);
+        orders.filter(|order| matches!(order, Order::Run { task, .. } if task.job == *id)).count()
+    }
+
     /// Lets all running tasks of all workers complete.
     fn finish_running_tasks(&mut self) {
         let statuses = self.workers.values_mut().flat_map(|heartbeat| &mut heartbeat.tasks);
--- a/src/core/scheduler/tests/huge_jobs.rs
+++ b/src/core/scheduler/tests/huge_jobs.rs
@@ -159,3 +159,91 @@
     run_with_bounded_heartbeats(&mut harness, 20_000);
     assert_eq!(harness.running_count(&gang), 1_000, "the gang has preempted tasks of the array");
 }
+
+/// A team of the sample settings that has a limit.
+const LIMITED_TEAM: &str = "team-a";
+/// Number of tasks of a gang whose start takes several ticks.
+const LARGE_GANG: u32 = 20_000;
+
+/// A harness in which the start of a large gang has begun and not ended.
+fn harness_with_half_started_gang() -> (SchedulerHarness, JobId) {
+    let mut harness = harness_in_zones(false);
+    let id = harness.submit(300, gang("req-000001", LARGE_GANG, ZoneRule::OneZone));
+    while harness.scheduler.jobs.live[&id].placed.is_empty() {
+        harness.run(TICK_INTERVAL.0);
+    }
+    harness.run(TICK_INTERVAL.0);
+    let placed = harness.scheduler.jobs.live[&id].placed.len();
+    assert!(placed > 0 && placed < LARGE_GANG as usize / 2, "after two ticks {placed} tasks are placed");
+    (harness, id)
+}
+
+/// The start of a whole gang in one input kept heartbeats, renewals and answers waiting.
+#[test]
+fn large_gang_starts_over_several_ticks_and_as_a_whole() {
+    let (mut harness, id) = harness_with_half_started_gang();
+    // Other work doesn't take the capacity that the rest of the gang needs.
+    let other = harness.submit(300, spec("req-000002", JobKind::Array, 48, 8.0));
+    harness.run(2_000);
+    assert_eq!(harness.running_count(&id), LARGE_GANG as usize);
+    assert!(harness.running_count(&other) < 5 && harness.scheduler.reservations.tasks_for_job(&id) == 0);
+}
+
+#[test]
+fn large_gang_that_is_cancelled_halfway_through_its_start_leaves_nothing_behind() {
+    let (mut harness, id) = harness_with_half_started_gang();
+    harness.cancel(&id);
+    harness.scheduler.on_job_terminated(&id, JobOutcome::Cancelled);
+    let placed_before = harness.delivered_runs(&id);
+    let other = harness.submit(300, spec("req-000002", JobKind::Array, 48, 8.0));
+    harness.run(4_000);
+    assert_eq!(harness.delivered_runs(&id), placed_before, "nothing starts after the cancellation");
+    assert_eq!((harness.running_count(&id), harness.running_count(&other)), (0, 48));
+}
+
+#[test]
+fn large_gang_that_loses_a_machine_halfway_through_its_start_is_stopped_and_starts_anew() {
+    let (mut harness, id) = harness_with_half_started_gang();
+    let lost = harness.first_busy_worker();
+    let worker = harness.workers.get_mut(&lost).unwrap();
+    worker.agent_epoch.0 += 1;
+    worker.sequence = SequenceNumber(0);
+    worker.tasks.clear();
+    harness.send_heartbeat(&lost);
+    assert!(harness.scheduler.jobs.live[&id].gang.as_ref().is_some_and(|run| run.broken));
+    harness.run(10_000);
+    assert_eq!(harness.running_count(&id), LARGE_GANG as usize);
+    let attempts: BTreeSet<Attempt> =
+        harness.workers.values().flat_map(|worker| &worker.tasks).map(|status| status.attempt).collect();
+    assert_eq!(attempts.len(), 1, "all tasks are of the new attempt");
+}
+
+#[test]
+fn large_gang_whose_leader_ends_halfway_through_its_start_starts_anew() {
+    let (mut harness, id) = harness_with_half_started_gang();
+    harness.change_leader();
+    harness.run(5_000);
+    let found = harness.running_count(&id);
+    assert!(found > 0 && found < LARGE_GANG as usize, "the new leader adds no tasks to the attempt");
+    // Workers end the tasks of a gang that doesn't become complete.
+    for status in harness.workers.values_mut().flat_map(|worker| &mut worker.tasks) {
+        (status.phase, status.cause) = (TaskPhase::Exited, Some(ExitCause::Alone));
+    }
+    harness.run(10_000);
+    assert_eq!(harness.running_count(&id), LARGE_GANG as usize);
+}
+
+#[test]
+fn large_gang_counts_in_its_teams_quota_from_the_beginning_of_its_start() {
+    let mut harness = harness_in_zones(false);
+    let in_team = |id: &str, tasks: u32| JobSpec { team: LIMITED_TEAM.into(), ..tiny(id, JobKind::Gang, tasks) };
+    let limit = sample_settings().cluster.teams.iter().find(|team| team.name == LIMITED_TEAM).unwrap().max_cpus;
+    let cpus = 0.6 * limit / f64::from(LARGE_GANG);
+    let first = harness.submit(300, JobSpec { cpus, ..in_team("req-000001", LARGE_GANG) });
+    while harness.scheduler.jobs.live[&first].placed.is_empty() {
+        harness.run(TICK_INTERVAL.0);
+    }
+    let second = harness.submit(300, JobSpec { cpus: 0.15 * limit, ..in_team("req-000002", 4) });
+    harness.run(4_000);
+    assert_eq!((harness.running_count(&first), harness.running_count(&second)), (LARGE_GANG as usize, 0));
+}
--- a/src/core/scheduler/ticks.rs
+++ b/src/core/scheduler/ticks.rs
@@ -25,6 +25,8 @@
         let interval_ms = self.tuning.min_round_interval_ms + ROUND_INTERVAL_PER_LAG * self.load.lag_ms();
         let interval = Millis(interval_ms.min(MAX_ROUND_INTERVAL_MS) as u64);
         self.rebalance_shards(now);
+        self.continue_stops();
+        self.continue_gang_starts(now);
         self.use_reservations(now);
         self.consolidate_replicas(now);
         self.close_round(now);
