Let a gang that the fleet can't hold hold nobody back, cost no search, and scale out

What callers saw (by test): a gang of 100,000 tasks in a class kept every other gang of the class from having capacity reserved, so that the largest of them never began; a gang of normal priority with more tiny tasks than the machines that are up have slots never began, as machines were requested only by the backlog in processor time.

Cause: which gangs are large was measured by the largest gang of the class, whether or not it could ever run; the planner allocated and released whatever fits for such a gang each round, in each zone; a backlog counts processors alone.

Now large is measured among the gangs that the fleet would hold if it were empty; a planner first compares a gang's tasks with the upper bound of what fits, zone by zone; a gang that the fleet can't hold may request machines whatever the backlog.

Both new tests fail before the change (no start in 60 s, no request).

--- a/src/core/placement/candidates.rs
+++ b/src/core/placement/candidates.rs
@@ -129,6 +129,11 @@
             && (scope == SearchScope::All || !self.is_limited_to_headroom(job) || headroom.covers(&need))
     }
 
+    /// How many tasks with this need fit into the free capacity.
+    pub(super) fn tasks_that_fit(&self, need: &Resources) -> u32 {
+        self.capacity.tasks_that_fit(need)
+    }
+
     /// Whether the job may use only a part (headroom) of the candidate: the job needs no GPU, and the candidate is a
     /// GPU machine.
     fn is_limited_to_headroom(&self, job: &JobView) -> bool {
--- a/src/core/placement/planner.rs
+++ b/src/core/placement/planner.rs
@@ -6,6 +6,7 @@
 use super::estimates::machine_fraction;
 use super::job_progress::JobProgress;
 use crate::core::cost::OperationMeter;
+use crate::core::machine::Resources;
 use crate::peer::{JobView, PlanInput, ScaleOutRequest};
 use std::collections::BTreeMap;
 
@@ -109,7 +110,7 @@
         progress.widen_scope(self.input, &self.candidates, self.meter);
         let job = progress.job();
         let tasks = progress.tasks_in_next_turn();
-        if !self.quota_allows(job, tasks) {
+        if !self.quota_allows(job, tasks) || job.gang && !self.may_hold_gang(job) {
             return TurnOutcome::NoCandidate;
         }
         let mut chosen = self.choose(progress, tasks);
@@ -121,6 +122,24 @@
         self.record(progress, &chosen)
     }
 
+    /// Whether the candidates and the machines that offers still allow may have capacity for a whole gang. An upper
+    /// bound: neither the machines that the job permits nor the headroom of GPU machines are considered.
+    fn may_hold_gang(&self, job: &JobView) -> bool {
+        self.meter.add_comparisons(self.candidates.len());
+        let need = Resources::from(job);
+        let mut zones: BTreeMap<u32, u32> = BTreeMap::new();
+        let mut add = |zone: u32, tasks: u32| {
+            let total = zones.entry(if job.one_zone { zone } else { 0 }).or_default();
+            *total = total.saturating_add(tasks);
+        };
+        self.candidates.iter().for_each(|candidate| add(candidate.zone, candidate.tasks_that_fit(&need)));
+        for (offer, left) in self.input.offers.iter().zip(&self.offered_machines_left) {
+            let capacity = Resources::from(&self.input.types[offer.type_index as usize]);
+            add(offer.zone, capacity.tasks_that_fit(&need).saturating_mul(*left));
+        }
+        zones.values().any(|tasks| *tasks >= job.ready_tasks)
+    }
+
     fn quota_allows(&self, job: &JobView, tasks: u32) -> bool {
         let left = self.team_quotas.get(&job.team).copied().unwrap_or(RemainingQuota::UNLIMITED);
         let exceeds = |need: f64, left: f64| need * tasks as f64 > left + TOLERANCE;
--- a/src/core/resources.rs
+++ b/src/core/resources.rs
@@ -76,6 +76,19 @@
         self.task_slots = self.task_slots.max(other.task_slots);
     }
 
+    /// How many tasks that need `need` each fit into this amount, for a need of at least one task slot.
+    pub fn tasks_that_fit(&self, need: &Resources) -> u32 {
+        let quotient = |amount: f64, need: f64| match need > 0.0 {
+            true => (amount + ROUNDING_TOLERANCE) / need,
+            false => f64::INFINITY,
+        };
+        let tasks = quotient(self.cpus, need.cpus)
+            .min(quotient(self.gpus, need.gpus))
+            .min(quotient(self.memory_gb, need.memory_gb))
+            .min(quotient(self.task_slots, need.task_slots));
+        tasks.max(0.0) as u32
+    }
+
     /// How many of `tasks` tasks that need `need` each this amount is enough for.
     pub fn count_covered(mut self, need: &Resources, tasks: u32) -> u32 {
         let mut covered = 0;
--- a/src/core/scheduler/gang_reservations.rs
+++ b/src/core/scheduler/gang_reservations.rs
@@ -9,14 +9,11 @@
 use crate::core::provisioning::InstancePool;
 use crate::ids::{JobId, MachineId};
 use crate::time::{MonotonicTime, WallTime};
-use crate::wire::JobKind;
+use crate::wire::{JobKind, JobSpec};
 use log::debug;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Tolerance for rounding errors in sums of fractional resources.
-const ROUNDING_TOLERANCE: f64 = 1e-6;
-
 /// What to do with free capacity that is not enough for a whole gang.
 #[derive(Clone, Copy, PartialEq)]
 pub(super) enum PartialCapacity {
@@ -53,17 +50,6 @@
     }
 }
 
-/// How many tasks of the same need fit into a capacity.
-fn tasks_that_fit(capacity: &Resources, need: &Resources) -> u32 {
-    let quotient =
-        |capacity: f64, need: f64| if need > 0.0 { (capacity + ROUNDING_TOLERANCE) / need } else { f64::INFINITY };
-    let tasks = quotient(capacity.cpus, need.cpus)
-        .min(quotient(capacity.gpus, need.gpus))
-        .min(quotient(capacity.memory_gb, need.memory_gb))
-        .min(quotient(capacity.task_slots, need.task_slots));
-    tasks.max(0.0) as u32
-}
-
 impl Scheduler {
     /// Gathers capacity for large gangs that have waited long: otherwise smaller jobs would take every machine that
     /// becomes free, and the largest gangs would never start. Free capacity is reserved, for one gang at a time and the
@@ -71,15 +57,19 @@
     /// capacity and the free capacity together are enough for the whole gang.
     pub(super) fn reserve_for_large_gangs(&mut self, now: MonotonicTime, wall: WallTime) {
         // Of each class only gangs of at least half the size of the largest: smaller ones find capacity anyway.
+        // A gang that the fleet can't hold takes no part in this: it would keep all others of its class from being large.
+        let fleet = self.fleet_size();
+        let is_holdable = |job: &Job| job.spec.kind == JobKind::Gang && self.can_hold_gang(&fleet, &job.spec);
         let mut largest: BTreeMap<&str, u32> = BTreeMap::new();
-        for job in self.jobs.live.values().filter(|job| job.spec.kind == JobKind::Gang) {
+        for job in self.jobs.live.values().filter(|job| is_holdable(job)) {
             let tasks = largest.entry(&job.spec.class).or_default();
             *tasks = job.spec.tasks.max(*tasks);
         }
         let is_large =
             |job: &Job| largest.get(&*job.spec.class).is_some_and(|most| job.spec.tasks.saturating_mul(2) >= *most);
         let order = |job: &Job| (job.priority(), Reverse(job.spec.tasks), job.submitted);
-        let needs_reservation = |job: &Job| self.gang_has_waited_long(now, wall, job) && is_large(job);
+        let needs_reservation =
+            |job: &Job| self.gang_has_waited_long(now, wall, job) && is_large(job) && is_holdable(job);
         let mut waiting: Vec<_> = self
             .jobs
             .live
@@ -96,6 +86,28 @@
         }
     }
 
+    /// The number of machines of each instance pool, whether or not they are up.
+    pub(super) fn fleet_size(&self) -> BTreeMap<InstancePool, u32> {
+        let mut fleet = BTreeMap::new();
+        for machine in self.machines.known.values().filter(|machine| !machine.retiring) {
+            *fleet.entry(machine.pool()).or_default() += 1;
+        }
+        fleet
+    }
+
+    /// Whether a fleet could hold all tasks of a gang at the same time if its machines were empty.
+    pub(super) fn can_hold_gang(&self, fleet: &BTreeMap<InstancePool, u32>, spec: &JobSpec) -> bool {
+        let need = Resources::of_task(spec);
+        let mut zones: BTreeMap<GangZone, u32> = BTreeMap::new();
+        for (pool, machines) in fleet.iter().filter(|(pool, _)| self.permits_pool(spec, **pool)) {
+            let zone = if spec.one_zone { GangZone::Zone(pool.zone) } else { GangZone::Any };
+            let tasks = Resources::of_type(&self.catalog.types[pool.kind]).tasks_that_fit(&need);
+            let total = zones.entry(zone).or_default();
+            *total = total.saturating_add(tasks.saturating_mul(*machines));
+        }
+        zones.values().any(|tasks| *tasks >= spec.tasks)
+    }
+
     /// Whether a job is a gang that has been startable for at least the configured wait, and still is.
     fn gang_has_waited_long(&self, now: MonotonicTime, wall: WallTime, job: &Job) -> bool {
         job.spec.kind == JobKind::Gang
@@ -176,12 +188,12 @@
             }
             let zone = if job.spec.one_zone { GangZone::Zone(machine.pool.zone) } else { GangZone::Any };
             let capacity = zones.entry(zone).or_default();
-            let free = tasks_that_fit(&free, &need);
+            let free = free.tasks_that_fit(&need);
             if free > 0 {
                 capacity.free.push((machine.id.clone(), free));
             }
-            capacity.reclaimable += tasks_that_fit(&reclaimable, &need);
-            capacity.total += tasks_that_fit(&Resources::of_type(&self.catalog.types[machine.pool.kind]), &need);
+            capacity.reclaimable += reclaimable.tasks_that_fit(&need);
+            capacity.total += Resources::of_type(&self.catalog.types[machine.pool.kind]).tasks_that_fit(&need);
         }
         zones
     }
--- a/src/core/scheduler/placement_checks.rs
+++ b/src/core/scheduler/placement_checks.rs
@@ -105,7 +105,7 @@
         self.permits_pool(spec, machine.pool())
     }
 
-    fn permits_pool(&self, spec: &JobSpec, pool: InstancePool) -> bool {
+    pub(super) fn permits_pool(&self, spec: &JobSpec, pool: InstancePool) -> bool {
         submissions::is_eligible_type(spec, &self.catalog.types[pool.kind])
             && spec.zone.as_ref().is_none_or(|zone| *zone == self.catalog.zones[pool.zone as usize])
             && (spec.allows_spot || !pool.spot)
--- a/src/core/scheduler/planner_view.rs
+++ b/src/core/scheduler/planner_view.rs
@@ -56,8 +56,9 @@
         self.quota.update_guaranteed_jobs(&self.jobs.live);
         let teams = self.quota.headrooms(&self.machines.known, &self.catalog.types);
         let keys: HashMap<&MachineId, u32> = machines.keys().collect();
-        let context =
-            JobContext { now, wall, plannable: &plannable, keys: &keys, backlog_s: self.backlog_s(machines.cpus_up) };
+        let fleet = self.fleet_size();
+        let backlog_s = self.backlog_s(machines.cpus_up);
+        let context = JobContext { now, wall, plannable: &plannable, keys: &keys, backlog_s, fleet: &fleet };
         let (job_views, jobs) = self.job_views(&context);
         // With more ready tasks, planners may place more tasks in one round.
         let ready: u32 = job_views.iter().map(|job| job.ready_tasks).sum();
--- a/src/core/scheduler/planner_view/jobs.rs
+++ b/src/core/scheduler/planner_view/jobs.rs
@@ -3,12 +3,13 @@
 use super::PlannedJob;
 use crate::config::{JobAges, next_slo_deadline};
 use crate::core::jobs::{Job, priority_number};
+use crate::core::provisioning::InstancePool;
 use crate::core::scheduler::Scheduler;
 use crate::ids::{JobId, MachineId};
 use crate::peer::JobView;
 use crate::time::{MonotonicTime, WallTime};
 use crate::wire::{JobKind, JobSpec, Priority};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Jobs of normal and low priority cause scaling out only if the machines that are up would need more than this many
 /// seconds to run all startable tasks.
@@ -28,6 +29,8 @@
     pub(super) keys: &'a HashMap<&'a MachineId, u32>,
     /// Seconds that the machines that are up need to run all startable tasks.
     pub(super) backlog_s: f64,
+    /// The number of machines of each instance pool.
+    pub(super) fleet: &'a BTreeMap<InstancePool, u32>,
 }
 
 /// How many tasks of a job may be placed.
@@ -126,7 +129,10 @@
             placed: job.zone_counts(),
             avoided_machines: if at_fault { Vec::new() } else { avoided_machines(job, context) },
             guaranteed,
-            may_scale_out: !at_fault && (job.priority() <= Priority::High || context.backlog_s > SCALE_OUT_BACKLOG_S),
+            may_scale_out: !at_fault
+                && (job.priority() <= Priority::High
+                    || context.backlog_s > SCALE_OUT_BACKLOG_S
+                    || spec.kind == JobKind::Gang && !self.can_hold_gang(context.fleet, spec)),
             ..Default::default()
         }
     }
--- a/src/core/scheduler/tests/planning.rs
+++ b/src/core/scheduler/tests/planning.rs
@@ -2,13 +2,18 @@
 
 use super::*;
 use crate::core::scheduler::planner_view::PlannerView;
+use crate::core::task_slots::MAX_TASKS_PER_MACHINE;
 use crate::peer::{JobView, MachineTypeView, MachineView, Placement, PlanInput, PlanOutput, VERSION};
 
-#[test]
-fn largest_gang_starts_while_smaller_gangs_keep_arriving() {
+/// When the largest gang that six machines hold starts, while smaller gangs keep arriving, and beside another gang of
+/// the same class with `other_tasks` tasks.
+fn start_of_the_largest_gang(other_tasks: Option<u32>) -> Option<u64> {
     let mut harness = SchedulerHarness::new(6);
     harness.run(2_000);
     let gang = |number: u32, tasks: u32| spec(&format!("req-{number:06}"), JobKind::Gang, tasks, 8.0);
+    if let Some(tasks) = other_tasks {
+        harness.submit(200, gang(900, tasks));
+    }
     for number in 1..=8 {
         harness.submit(200, gang(number, 1));
     }
@@ -37,9 +42,39 @@
             break;
         }
     }
+    started_at
+}
+
+#[test]
+fn largest_gang_starts_while_smaller_gangs_keep_arriving() {
+    let started_at = start_of_the_largest_gang(None);
     assert!(started_at.is_some_and(|at| at < 60_000), "start time of the largest gang in ms: {started_at:?}");
 }
 
+/// A gang that the fleet can't hold kept all other gangs of its class from having capacity reserved.
+#[test]
+fn gang_that_the_fleet_cannot_hold_keeps_no_other_gang_of_its_class_waiting() {
+    let started_at = start_of_the_largest_gang(Some(100_000));
+    assert!(started_at.is_some_and(|at| at < 60_000), "start time of the largest gang in ms: {started_at:?}");
+}
+
+/// With a bound on the tasks of a machine, a gang of tiny tasks may need more machines than processors: it would wait
+/// forever where the backlog in processor time is small.
+#[test]
+fn gang_that_the_fleet_cannot_hold_scales_out_whatever_the_backlog() {
+    let mut harness = SchedulerHarness::new(1);
+    harness.run(2_000);
+    let spec = spec("req-000001", JobKind::Gang, 2 * MAX_TASKS_PER_MACHINE, 0.0005);
+    harness.submit(300, JobSpec { priority: Priority::Normal, memory_gb: 0.001, estimated_run_s: 1.0, ..spec });
+    let mut requested = false;
+    for _ in 0..40 {
+        harness.now += TICK_INTERVAL.0;
+        harness.tick();
+        requested |= harness.scheduler.take_effects().iter().any(|effect| matches!(effect, Effect::Provision(_)));
+    }
+    assert!(requested, "machines are requested for the gang");
+}
+
 #[test]
 fn work_within_a_guarantee_preempts_work_beyond_guarantees() {
     let mut harness = SchedulerHarness::new(2);
