--- a/src/core/scheduler/tests/huge_jobs.rs
+++ b/src/core/scheduler/tests/huge_jobs.rs
@@ -247,3 +247,25 @@
     harness.run(4_000);
     assert_eq!((harness.running_count(&first), harness.running_count(&second)), (LARGE_GANG as usize, 0));
 }
+
+/// Operations of the longest input while a gang preempts tasks of an array that fills all task slots.
+fn operations_of_a_preempting_gang(tasks: u32) -> u64 {
+    let machines = 12;
+    let mut harness = SchedulerHarness::new(machines);
+    harness.run(2_000);
+    let low = tiny("req-000001", JobKind::Array, machines as u32 * MAX_TASKS_PER_MACHINE);
+    let low = harness.submit(300, JobSpec { priority: Priority::Low, ..low });
+    harness.run(25_000);
+    assert_eq!(harness.running_count(&low), machines * MAX_TASKS_PER_MACHINE as usize);
+    harness.max_input_operations = OperationCounts::default();
+    let gang = harness.submit(300, JobSpec { one_zone: true, ..tiny("req-000002", JobKind::Gang, tasks) });
+    harness.run(20_000);
+    assert_eq!(harness.running_count(&gang), tasks as usize);
+    harness.max_input_operations.total()
+}
+
+#[test]
+fn operations_of_a_preempting_gang_grow_in_proportion_to_its_tasks() {
+    let (smaller, larger) = (operations_of_a_preempting_gang(200), operations_of_a_preempting_gang(2_000));
+    assert!(exponent(smaller, larger, 10.0) <= MAX_EXPONENT, "{smaller} and {larger} operations");
+}
