Known red: huge arrays take all task slots, and ordinary jobs wait for them

With the bound on a machine's tasks, slots are a resource that tasks of next to no need can use up. The test shows it on its own.

--- a/src/core/scheduler/tests/huge_jobs.rs
+++ b/src/core/scheduler/tests/huge_jobs.rs
@@ -269,3 +269,17 @@
     let (smaller, larger) = (operations_of_a_preempting_gang(200), operations_of_a_preempting_gang(2_000));
     assert!(exponent(smaller, larger, 10.0) <= MAX_EXPONENT, "{smaller} and {larger} operations");
 }
+
+/// One user's huge jobs take all task slots, and ordinary jobs of others have to wait for their ends.
+#[test]
+fn huge_jobs_leave_task_slots_to_others() {
+    let mut harness = SchedulerHarness::new(4);
+    harness.run(2_000);
+    for number in 1..=6 {
+        harness.submit(300, tiny(&format!("req-{number:06}"), JobKind::Array, 100_000));
+    }
+    run_with_bounded_heartbeats(&mut harness, 20_000);
+    let ordinary = harness.submit(400, spec("req-000900", JobKind::Array, 8, 1.0));
+    run_with_bounded_heartbeats(&mut harness, 2_000);
+    assert_eq!(harness.running_count(&ordinary), 8);
+}
