One way to count tasks in a zone, and to put a test's machines in zones

The planner and the search for preemption counted a job's tasks by zone in the same way, and two tests laid out machines in zones alike.

--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -28,7 +28,7 @@
 use crate::peer::{PlanInput, PlanOutput, VERSION};
 use std::cmp::Ordering;
 
-pub use self::formulas::{spot_wait_is_over, sub_deadline, zone_allowance, zone_allowed};
+pub use self::formulas::{count_in_zone, spot_wait_is_over, sub_deadline, zone_allowance, zone_allowed};
 
 /// Resources, times (in seconds) and costs that differ by no more than this are treated as equal.
 const TOLERANCE: f64 = 1e-6;
--- a/src/core/placement/formulas.rs
+++ b/src/core/placement/formulas.rs
@@ -57,6 +57,14 @@
     tasks.div_ceil(2).saturating_sub(here)
 }
 
+/// Counts more tasks of a job in the zone.
+pub fn count_in_zone(zones: &mut Vec<ZoneCount>, zone: u32, tasks: u32) {
+    match zones.iter_mut().find(|counted| counted.zone == zone) {
+        Some(counted) => counted.count += tasks,
+        None => zones.push(ZoneCount { zone, count: tasks }),
+    }
+}
+
 /// The quality of a candidate, 0 to 3: the sum of its scores, 0 to 1 each, for time (paper, eq. 4), cost (eq. 5) and
 /// reliability (eq. 7). `lowest` and `highest` hold the minima and maxima of time and cost over the feasible
 /// candidates.
--- a/src/core/placement/job_progress.rs
+++ b/src/core/placement/job_progress.rs
@@ -6,7 +6,7 @@
 use super::candidates::{Candidate, SearchScope};
 use super::estimates::estimate_in_scope;
 use super::ranking::CandidateRanking;
-use super::{Estimate, TOLERANCE, sub_deadline, zone_allowance, zone_allowed};
+use super::{Estimate, TOLERANCE, count_in_zone, sub_deadline, zone_allowance, zone_allowed};
 use crate::core::cost::OperationMeter;
 use crate::peer::{JobView, Placement, PlanInput, PlanOutput, WaitingTasks, ZoneCount};
 use std::collections::BTreeMap;
@@ -259,10 +259,7 @@
 
     /// Counts more of the job's tasks in the zone.
     pub(super) fn count_in_zone(&mut self, zone: u32, tasks: u32) {
-        match self.zone_counts.iter_mut().find(|counted| counted.zone == zone) {
-            Some(counted) => counted.count += tasks,
-            None => self.zone_counts.push(ZoneCount { zone, count: tasks }),
-        }
+        count_in_zone(&mut self.zone_counts, zone, tasks);
     }
 
     /// Restricts the search for a one-zone gang to one zone, by counting one of its tasks as placed in that zone.
--- a/src/core/scheduler/preemption.rs
+++ b/src/core/scheduler/preemption.rs
@@ -187,7 +187,7 @@
                 continue;
             }
             self.evict(now, id, &machine, eviction.victims);
-            count_in_zone(&mut zones, zone);
+            placement::count_in_zone(&mut zones, zone, 1);
             reserved += 1;
             search.refresh(self, now, &machine);
             let Some(job) = self.jobs.live.get(id) else { break };
@@ -255,11 +255,3 @@
         zones
     }
 }
-
-/// Counts one more task of a job in the zone.
-fn count_in_zone(zones: &mut Vec<ZoneCount>, zone: u32) {
-    match zones.iter_mut().find(|counted| counted.zone == zone) {
-        Some(counted) => counted.count += 1,
-        None => zones.push(ZoneCount { zone, count: 1 }),
-    }
-}
--- a/src/core/scheduler/tests.rs
+++ b/src/core/scheduler/tests.rs
@@ -144,6 +144,24 @@
         }
     }
 
+    /// Creates a harness whose machines are in the zones that `zone_of` gives for their numbers.
+    fn in_zones(machines: usize, zone_of: impl Fn(usize) -> &'static str) -> SchedulerHarness {
+        let mut harness = SchedulerHarness::new(machines);
+        for worker in harness.workers.values_mut() {
+            let number: usize = worker.machine[2..].parse().expect("the number of a machine");
+            worker.zone = zone_of(number).into();
+        }
+        let rows = (0..machines).map(|number| {
+            let mut row = machine_row(number);
+            row.value["zone"] = json!(zone_of(number));
+            row
+        });
+        let (settings, types) = (sample_settings(), machine_types());
+        harness.scheduler = Scheduler::new(settings, Tuning::default(), types, TERM, leader_record(), MonotonicTime(0));
+        harness.scheduler.load(MonotonicTime(0), StoredState { machines: rows.collect(), ..StoredState::default() });
+        harness
+    }
+
     /// Returns the heartbeat of a worker that has just started and has no tasks.
     fn idle_heartbeat(index: usize) -> Heartbeat {
         Heartbeat {
--- a/src/core/scheduler/tests/huge_jobs.rs
+++ b/src/core/scheduler/tests/huge_jobs.rs
@@ -18,20 +18,8 @@
 
 /// A harness whose machines are in two zones, by turns if `two_zones`, and otherwise in one.
 fn harness_in_zones(two_zones: bool) -> SchedulerHarness {
-    let mut harness = SchedulerHarness::new(MACHINES);
     let zone_of = |number: usize| if two_zones && number % 2 == 1 { "b" } else { "a" };
-    for worker in harness.workers.values_mut() {
-        let number: usize = worker.machine[2..].parse().unwrap();
-        worker.zone = zone_of(number).into();
-    }
-    let rows = (0..MACHINES).map(|number| {
-        let mut row = machine_row(number);
-        row.value["zone"] = json!(zone_of(number));
-        row
-    });
-    harness.scheduler =
-        Scheduler::new(sample_settings(), Tuning::default(), machine_types(), TERM, leader_record(), MonotonicTime(0));
-    harness.scheduler.load(MonotonicTime(0), StoredState { machines: rows.collect(), ..StoredState::default() });
+    let mut harness = SchedulerHarness::in_zones(MACHINES, zone_of);
     harness.run(2_000);
     harness
 }
--- a/src/core/scheduler/tests/operation_bounds.rs
+++ b/src/core/scheduler/tests/operation_bounds.rs
@@ -167,19 +167,7 @@
 #[test]
 fn preemption_for_a_gang_stops_tasks_only_in_a_zone_with_room_for_it() {
     // The tasks in zone b are the cheapest to preempt, but the zone has too few machines for the gang.
-    let mut harness = SchedulerHarness::new(6);
-    let zone_of = |number: usize| if number < 4 { "a" } else { "b" };
-    for (number, worker) in harness.workers.values_mut().enumerate() {
-        worker.zone = zone_of(number).into();
-    }
-    let rows = (0..6).map(|number| {
-        let mut row = machine_row(number);
-        row.value["zone"] = json!(zone_of(number));
-        row
-    });
-    harness.scheduler =
-        Scheduler::new(sample_settings(), Tuning::default(), machine_types(), TERM, leader_record(), MonotonicTime(0));
-    harness.scheduler.load(MonotonicTime(0), StoredState { machines: rows.collect(), ..StoredState::default() });
+    let mut harness = SchedulerHarness::in_zones(6, |number| if number < 4 { "a" } else { "b" });
     harness.run(2_000);
     let low = |number: u32, zone: &str| {
         let spec = spec(&format!("req-{number:06}"), JobKind::Array, 4, 8.0);
