--- a/review/sitelab.py
+++ b/review/sitelab.py
@@ -629,9 +629,11 @@
         places = self.on.setdefault(key[0], [])
         self.starts.append((time.monotonic(), worker.name, key[0], key[1], list(places)))
         places.append(worker.name)
+        self.note(f"run {key[0]} attempt {key[1]} on {worker.name}")
 
     def ended(self, worker, key):
         self.on[key[0]].remove(worker.name)
+        self.note(f"end {key[0]} attempt {key[1]} on {worker.name}")
 
     async def open(self, machines=()):
         """Starts the stand-ins, the machines that are up at the start, and the controllers."""
@@ -718,13 +720,14 @@
 
     async def play():
         lab = make_lab()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             held = await asyncio.wait_for(case(lab), most_s)
             verdict = "the rule held" if held else "the rule was broken"
             lab.note(verdict)
             print(verdict)
             return 0 if held else 1
-        except (CannotRun, asyncio.TimeoutError) as error:
+        except (CannotRun, asyncio.TimeoutError, asyncio.CancelledError) as error:
             lab.note(f"the case couldn't run: {type(error).__name__}")
             print("the case couldn't run")
             return 2
