--- a/review/sitelab.py
+++ b/review/sitelab.py
@@ -764,6 +764,26 @@
         "limits": {"cpu": 0.08, "ram_mb": 72.0, "fd_limit": 1000}, "skew_ms": 250.0}
 
 
+# The same of Annex B.
+YARDBOX = {"sku": "yardbox", "cores": 8.0, "gpus": 0.0, "ram_gb": 32.0, "local_gb": 80.0, "fetch_gb_per_s": 0.3,
+           "price": 0.55, "market_price": 0.13, "startup_s": 15.0, "quays": ["cork", "dundalk"]}
+VISIONBOX = {"sku": "visionbox", "cores": 16.0, "gpus": 2.0, "ram_gb": 128.0, "local_gb": 120.0, "fetch_gb_per_s": 1.0,
+             "price": 4.51, "market_price": 1.07, "startup_s": 30.0, "quays": ["cork", "dundalk"]}
+
+
+def annex_cluster():
+    return {
+        "count": 3, "zones": ["cork", "dundalk"],
+        "teams": [{"name": f"yard-systems-{number:02d}", "cpus": 24.0, "cpus_max": 150.0, "gpus": 0.0, "gpus_max": 0.0}
+                  for number in range(16)],
+        "objectives": [{"kind": "finished", "class": "stock-rotation", "within_s": 250.0, "share": 0.94},
+                       {"kind": "wait", "class": "recall-trace", "within_s": 18.0, "share": 0.9}],
+        "workers": {"report_s": 3.0, "lease_s": 24.0, "gang_wait_s": 40.0, "gang_peer_s": 8.0, "cancel_s": 44.0},
+        "state": {"rps": 200.0, "write_rps": 40.0, "value_kb": 8.0, "txn_ops": 32},
+        "cloud": {"rps": 2.0, "list_lag_s": 12.0},
+        "limits": {"cpu": 0.16, "ram_mb": 104.0, "fd_limit": 1500}, "skew_ms": 25.0}
+
+
 def job(number, shape="batch", rank="normal", berth="gauge-ingest", lots=1, cores=1.0, ram_gb=1.8, expect_s=20.0, **more):
     return {"id": f"req-{number:06d}", "berth": berth, "crew": "hosting-ops-00", "shape": shape, "rank": rank,
             "lots": lots, "cores": cores, "gpus": 0.0, "ram_gb": ram_gb, "cast": "img-01", "pull_gb": 1.0,
